--- a/api.go
+++ b/api.go
@@ -1,10 +1,10 @@
-// Package pitchrock makes the decisions of a call control for a mesh of exchanges: which calls to
+// Package brookmux makes the decisions of a call control for a mesh of exchanges: which calls to
 // admit, which route each takes, when to try again and when to give up. A call controller creates one
 // Controller for its exchange, hands it what happens, and carries out what it asks of the Host.
 //
 // The package does no I/O, starts no goroutine and reads no clock. Each method takes the present time
 // on the caller's own clock. A Controller is not safe for concurrent use; Controllers share nothing.
-package pitchrock
+package brookmux
 
 import (
 	"errors"
@@ -83,13 +83,13 @@
 // check returns an error that names the first setting that can't be served.
 func (s Settings) check() error {
 	if len(s.Classes) == 0 {
-		return errors.New("pitchrock: setting Classes is empty")
+		return errors.New("brookmux: setting Classes is empty")
 	} else if s.MaxAttempts < 1 {
-		return fmt.Errorf("pitchrock: setting MaxAttempts is %d, at least 1 is needed", s.MaxAttempts)
+		return fmt.Errorf("brookmux: setting MaxAttempts is %d, at least 1 is needed", s.MaxAttempts)
 	} else if !s.Pools && s.Here < 0 {
-		return fmt.Errorf("pitchrock: setting Here is %d in a mesh", s.Here)
+		return fmt.Errorf("brookmux: setting Here is %d in a mesh", s.Here)
 	} else if s.ColdFrom > 1 {
-		return fmt.Errorf("pitchrock: setting ColdFrom is %v, a share is needed", s.ColdFrom)
+		return fmt.Errorf("brookmux: setting ColdFrom is %v, a share is needed", s.ColdFrom)
 	}
 	type figure struct {
 		name  string
@@ -106,7 +106,7 @@
 	}
 	for _, f := range figures {
 		if !(f.value >= 0) || math.IsInf(f.value, 1) {
-			return fmt.Errorf("pitchrock: setting %s is %v", f.name, f.value)
+			return fmt.Errorf("brookmux: setting %s is %v", f.name, f.value)
 		}
 	}
 	return nil
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"time"
 
-	"pitchrock"
-	"pitchrock/internal/wire"
+	"brookmux"
+	"brookmux/internal/wire"
 )
 
 func main() {
@@ -23,14 +23,14 @@
 // link holds the instances of this process and the lists that events refer to.
 type link struct {
 	instances map[uint32]*instance
-	lists     [256][]pitchrock.Switch
+	lists     [256][]brookmux.Switch
 	reply     wire.Reply
 }
 
 // instance is one Controller and its Host.
 type instance struct {
 	who   uint32
-	ctl   *pitchrock.Controller
+	ctl   *brookmux.Controller
 	names []string
 	out   *wire.Reply
 }
@@ -76,15 +76,15 @@
 		if !ok {
 			return fmt.Errorf("FLEET: field how: unknown code %d", e.How)
 		}
-		m := pitchrock.Members{Kind: kind}
-		if kind != pitchrock.Failed {
+		m := brookmux.Members{Kind: kind}
+		if kind != brookmux.Failed {
 			m.Switches = l.lists[e.Set]
 		}
 		l.to(e.Who, func(i *instance) { i.ctl.Members(now, m) })
 	case wire.Ingress:
 		l.to(e.Who, func(i *instance) { i.ctl.Offered(now, call(e)) })
 	case wire.FirstByte:
-		s := pitchrock.Stands{Call: pitchrock.CallID(e.Call), Attempt: int(e.Leg), Took: ms(e.Took)}
+		s := brookmux.Stands{Call: brookmux.CallID(e.Call), Attempt: int(e.Leg), Took: ms(e.Took)}
 		l.to(e.Who, func(i *instance) { i.ctl.Stands(now, s) })
 	case wire.Completed:
 		if e.Code > 7 {
@@ -92,12 +92,12 @@
 		}
 		l.to(e.Who, func(i *instance) { i.ctl.Ended(now, outcome(e, i.names)) })
 	case wire.Cancelled:
-		l.to(e.Who, func(i *instance) { i.ctl.Left(now, pitchrock.CallID(e.Call)) })
+		l.to(e.Who, func(i *instance) { i.ctl.Left(now, brookmux.CallID(e.Call)) })
 	case wire.TimerFired:
 		l.to(e.Who, func(i *instance) { i.ctl.Timer(now, e.Tag) })
 	case wire.HealthResult:
 		l.to(e.Who, func(i *instance) {
-			i.ctl.Probed(now, pitchrock.ProbeResult{Switch: pitchrock.SwitchID(e.Switch), OK: e.Code == 1,
+			i.ctl.Probed(now, brookmux.ProbeResult{Switch: brookmux.SwitchID(e.Switch), OK: e.Code == 1,
 				Unasked: e.Code == 1 && e.Took == 0, Report: figures(i.names, e.Health)})
 		})
 	}
@@ -125,7 +125,7 @@
 		return fmt.Errorf("INIT: field bootInfo: %w", err)
 	}
 	i := &instance{who: e.Who, names: names, out: &l.reply}
-	i.ctl, err = pitchrock.New(s, e.Salt, i)
+	i.ctl, err = brookmux.New(s, e.Salt, i)
 	if err != nil {
 		return fmt.Errorf("INIT: field bootInfo: %w", err)
 	}
@@ -133,70 +133,55 @@
 	return nil
 }
 
-var listKinds = map[uint8]pitchrock.ListKind{
-	0: pitchrock.Delta, 1: pitchrock.Full, 2: pitchrock.Cached, 3: pitchrock.Failed}
+var listKinds = map[uint8]brookmux.ListKind{
+	0: brookmux.Delta, 1: brookmux.Full, 2: brookmux.Cached, 3: brookmux.Failed}
 
 // switches translates a list.
-func switches(entries []wire.Entry) []pitchrock.Switch {
-	states := map[uint8]pitchrock.SwitchState{1: pitchrock.Ready, 2: pitchrock.Draining}
-	out := make([]pitchrock.Switch, 0, len(entries))
+func switches(entries []wire.Entry) []brookmux.Switch {
+	states := map[uint8]brookmux.SwitchState{1: brookmux.Ready, 2: brookmux.Draining}
+	out := make([]brookmux.Switch, 0, len(entries))
 	for _, e := range entries {
-		out = append(out, pitchrock.Switch{ID: pitchrock.SwitchID(e.Switch), Number: int(e.Node), Zone: int(e.Zone),
+		out = append(out, brookmux.Switch{ID: brookmux.SwitchID(e.Switch), Number: int(e.Node), Zone: int(e.Zone),
 			State: states[e.State], Since: ms(e.Since)})
 	}
 	return out
 }
 
 // call translates an INGRESS.
-func call(e wire.Ingress) pitchrock.Call {
-	return pitchrock.Call{ID: pitchrock.CallID(e.Call), Class: int(e.Class), Tenant: int(e.Tenant), Number: e.Number,
+func call(e wire.Ingress) brookmux.Call {
+	return brookmux.Call{ID: brookmux.CallID(e.Call), Class: int(e.Class), Tenant: int(e.Tenant), Number: e.Number,
 		Expires: ms(e.Expires), Destination: int(e.Destination), Width: float64(e.Units), Via: int(e.Hop),
 		Transit: e.Flags&wire.FlagTransit != 0}
 }
 
 // outcome translates a COMPLETED. The wire's codes for results are in the module's order.
-func outcome(e wire.Completed, names []string) pitchrock.Outcome {
-	o := pitchrock.Outcome{Call: pitchrock.CallID(e.Call), Attempt: int(e.Leg), Switch: pitchrock.SwitchID(e.Switch),
-		Result: pitchrock.Result(e.Code), Took: ms(e.Took), Over: e.Done != 0, Report: figures(names, e.Health)}
+func outcome(e wire.Completed, names []string) brookmux.Outcome {
+	o := brookmux.Outcome{Call: brookmux.CallID(e.Call), Attempt: int(e.Leg), Switch: brookmux.SwitchID(e.Switch),
+		Result: brookmux.Result(e.Code), Took: ms(e.Took), Over: e.Done != 0, Report: figures(names, e.Health)}
 	switch {
 	case e.Why == 18:
-		o.Reason = pitchrock.ReasonFarFull
+		o.Reason = brookmux.ReasonFarFull
 	case e.Why&15 <= 4:
-		reasons := [...]pitchrock.Reason{pitchrock.ReasonNone, pitchrock.ReasonNoCircuit,
-			pitchrock.ReasonTurnedBack, pitchrock.ReasonProcessorFull, pitchrock.ReasonLineBusy}
+		reasons := [...]brookmux.Reason{brookmux.ReasonNone, brookmux.ReasonNoCircuit,
+			brookmux.ReasonTurnedBack, brookmux.ReasonProcessorFull, brookmux.ReasonLineBusy}
 		o.Reason = reasons[e.Why&15]
 		o.Wait = ms(float64(e.Why >> 4))
 	}
 	return o
 }
 
-// figures names a report's values; names that are not known are skipped.
-func figures(names []string, values []float32) pitchrock.Report {
-	r := pitchrock.Report{Free: pitchrock.Absent, Size: pitchrock.Absent, Active: pitchrock.Absent,
-		Queue: pitchrock.Absent, Util: pitchrock.Absent, Wait: pitchrock.Absent, Rate: pitchrock.Absent,
-		HoldBack: pitchrock.Absent}
-	to := map[string]*float64{"idle": &r.Free, "circuits": &r.Size, "active": &r.Active, "waiting": &r.Queue,
-		"cpu": &r.Util, "avg_ms": &r.Wait, "max_rate": &r.Rate, "reduce": &r.HoldBack}
-	for k, v := range values {
-		if k < len(names) && to[names[k]] != nil {
-			*to[names[k]] = float64(v)
-		}
-	}
-	return r
-}
-
-// Send implements pitchrock.Host, as do the methods below.
-func (i *instance) Send(c pitchrock.CallID, to pitchrock.SwitchID, timeout time.Duration) {
+// Send implements brookmux.Host, as do the methods below.
+func (i *instance) Send(c brookmux.CallID, to brookmux.SwitchID, timeout time.Duration) {
 	i.out.Route(i.who, uint64(c), toMs(timeout), uint32(to))
 }
 
-func (i *instance) Refuse(c pitchrock.CallID, wait time.Duration) {
+func (i *instance) Refuse(c brookmux.CallID, wait time.Duration) {
 	i.out.Shed(i.who, uint64(c), toMs(wait))
 }
 
-func (i *instance) Fail(c pitchrock.CallID) { i.out.Error(i.who, uint64(c)) }
+func (i *instance) Fail(c brookmux.CallID) { i.out.Error(i.who, uint64(c)) }
 
-func (i *instance) Probe(to pitchrock.SwitchID) { i.out.Probe(i.who, uint32(to)) }
+func (i *instance) Probe(to brookmux.SwitchID) { i.out.Probe(i.who, uint32(to)) }
 
 func (i *instance) SetTimer(delay time.Duration, token uint64) {
 	i.out.Timer(i.who, toMs(delay), token)
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"pitchrock"
+	"brookmux"
 )
 
 const settings = `{"classes":[{"aimMs":1500,"deadlineMs":9000,"effect":"by_key","group":"cell","gain":3,"news":1}],
@@ -22,13 +22,13 @@
 		t.Fatal(err)
 	}
 	k := s.Classes[0]
-	if s.Here != 2 || !s.Ask || s.Pools || s.Reports != pitchrock.ReportsProbe || s.MaxAttempts != 6 ||
-		s.ReleaseWait != 300*time.Millisecond || k.Effect != pitchrock.Keyed ||
-		k.Group != pitchrock.ScopeCell || k.Hold != 12100*time.Millisecond || len(names) != 4 {
+	if s.Here != 2 || !s.Ask || s.Pools || s.Reports != brookmux.ReportsProbe || s.MaxAttempts != 6 ||
+		s.ReleaseWait != 300*time.Millisecond || k.Effect != brookmux.Keyed ||
+		k.Group != brookmux.ScopeCell || k.Hold != 12100*time.Millisecond || len(names) != 4 {
 		t.Errorf("got %+v, names %v", s, names)
 	}
 	r := figures(names, []float32{3, 8, 44, 0.5})
-	if r.Free != 3 || r.Size != 8 || r.HoldBack != 0.5 || r.Wait != pitchrock.Absent {
+	if r.Free != 3 || r.Size != 8 || r.HoldBack != 0.5 || r.Wait != brookmux.Absent {
 		t.Errorf("figures: %+v", r)
 	}
 }
--- a/controller.go
+++ b/controller.go
@@ -1,6 +1,6 @@
 // The types, events and actions of this module stand together in api.go; all that decides stands here.
 
-package pitchrock
+package brookmux
 
 import (
 	"cmp"
@@ -183,7 +183,7 @@
 // New returns the controller of one exchange, or an error that names the setting it can't serve.
 func New(s Settings, seed uint64, host Host) (*Controller, error) {
 	if host == nil {
-		return nil, errors.New("pitchrock: host is missing")
+		return nil, errors.New("brookmux: host is missing")
 	} else if err := s.check(); err != nil {
 		return nil, err
 	}
--- a/controller_test.go
+++ b/controller_test.go
@@ -1,4 +1,4 @@
-package pitchrock
+package brookmux
 
 import (
 	"bufio"
