--- /dev/null
+++ b/internal/core/book.go
@@ -0,0 +1,97 @@
+package core
+
+import (
+	"log/slog"
+
+	"brookmux"
+	"brookmux/internal/settings"
+)
+
+var noReport = settings.NoReport()
+
+// Counts are totals since the start.
+type Counts struct {
+	Taken, Repeated, Full, Withdrawn, CallerLost int
+	Stood, Refused, Failed                       int
+	Sent, LateAnswers, Strays, HungUp, Cut       int
+	Results                                      [8]int // of attempts that did not stand, by brookmux.Result
+	Guards                                       int
+}
+
+// outcome counts the end of an attempt.
+func (n *Counts) outcome(r brookmux.Result, stood bool) {
+	switch {
+	case !stood && r >= 0 && int(r) < len(n.Results):
+		n.Results[r]++
+	case stood && r != brookmux.ResultOK:
+		n.Cut++
+	}
+}
+
+// answer books that a call is owed nothing more.
+func (e *Engine) answer(c *call) {
+	if !c.answered {
+		c.answered = true
+		c.deadline.stop()
+		e.open--
+		if c.out != nil && c.out.stands {
+			e.counts.Stood++
+		}
+	}
+	e.checkDrained()
+}
+
+// close takes a call off the table and remembers its key.
+func (e *Engine) close(c *call) {
+	e.answer(c)
+	delete(e.calls, c.Key)
+	delete(e.byID, c.id)
+	e.remember(c.Key)
+}
+
+// remember keeps the key of a call that is over, so that what still arrives for it is known to be late.
+func (e *Engine) remember(key string) { e.recent[0][key] = struct{}{} }
+
+// ended tells whether a call was over not long ago.
+func (e *Engine) ended(key string) bool {
+	_, now := e.recent[0][key]
+	_, before := e.recent[1][key]
+	return now || before
+}
+
+// forget drops what was remembered longest.
+func (e *Engine) forget() {
+	e.recent[0], e.recent[1] = map[string]struct{}{}, e.recent[0]
+	e.in(recentSpan, e.forget)
+}
+
+// guard logs and counts that the core kept a rule in the module's place.
+func (e *Engine) guard(rule string, c *call) {
+	e.counts.Guards++
+	e.Config.Log.Warn("guard", "rule", rule, "call", c.Key, "sends", c.sends)
+}
+
+// report writes the totals to the log now and then.
+func (e *Engine) report() {
+	e.logCounts()
+	e.in(countsEvery, e.report)
+}
+
+// logCounts writes the totals to the log.
+func (e *Engine) logCounts() {
+	n := e.counts
+	e.Config.Log.Info("counts", "taken", n.Taken, "open", e.open, "table", len(e.calls), "stood", n.Stood,
+		"refused", n.Refused, "failed", n.Failed, "withdrawn", n.Withdrawn, "callers_lost", n.CallerLost,
+		"repeated", n.Repeated, "full", n.Full, "sent", n.Sent, "late_answers", n.LateAnswers, "strays", n.Strays,
+		"cut", n.Cut, "hung_up", n.HungUp, "guards", n.Guards, slog.Group("results",
+			"error", n.Results[brookmux.ResultError], "full", n.Results[brookmux.ResultFull],
+			"timeout", n.Results[brookmux.ResultTimeout], "connect", n.Results[brookmux.ResultConnectFailed],
+			"reset", n.Results[brookmux.ResultReset], "moot", n.Results[brookmux.ResultMoot]))
+}
+
+// Counts returns the totals so far.
+func (e *Engine) Counts() Counts {
+	out := make(chan Counts, 1)
+	e.post(func() { out <- e.counts })
+	return <-out
+}
--- /dev/null
+++ b/internal/core/call.go
@@ -0,0 +1,31 @@
+package core
+
+import (
+	"time"
+
+	"brookmux"
+)
+
+// call is a line of the table. It is owed an answer until answered, and stays while it stands.
+type call struct {
+	Request
+	id       brookmux.CallID
+	expires  time.Duration // when its caller stops waiting
+	deadline *timer        // the guard on the final answer
+	sends    int
+	out      *leg          // the attempt that is out, or the one that stands
+	notUntil time.Duration // the wait after a timeout, reset or cancel
+	answered bool
+}
+
+// leg is an attempt.
+type leg struct {
+	number  int
+	to      brookmux.SwitchID
+	at      time.Duration
+	timeout *timer
+	stands  bool
+}
+
+// has tells whether the call's open attempt is at this core.
+func (c *call) has(from brookmux.SwitchID) bool { return c != nil && c.out != nil && c.out.to == from }
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,82 @@
+// Package core carries requests through the border controller. It deals in requests, attempts and outcomes
+// and knows no wire: fronts hand it requests, trunks carry its attempts, and the decision module chooses.
+//
+// A request passes the stages take in, admit, route, send, relay and book, each in a file of its own. One
+// goroutine owns the module and the table of calls; everything reaches it through one bounded queue, and it
+// never waits for a socket.
+package core
+
+import (
+	"time"
+
+	"brookmux"
+)
+
+// Cause is a Q.850 cause, the vocabulary that all fronts and trunks share for the end of a call.
+type Cause int
+
+// The causes that the core itself uses.
+const (
+	NormalClearing   Cause = 16
+	NetworkOutOfOrd  Cause = 38
+	TemporaryFailure Cause = 41
+)
+
+// Request is a set-up that a front has taken.
+type Request struct {
+	Key         string        // names the call on every wire, passed on unchanged
+	Class       string        // as named in the settings
+	Number      string        // the number called, hex digits, passed on unchanged
+	Left        time.Duration // how long the caller waits from now on
+	Destination int
+	Width       float64
+	Via         int // where a call in transit comes from, or the advised tandem, or -1
+	Transit     bool
+	Description []byte
+	Caller      Caller
+}
+
+// Verdict is a final answer other than that the call stands.
+type Verdict struct {
+	Failed bool          // given up, and trying again may do harm; else turned away
+	Wait   time.Duration // how long the caller should stay away, 0 for no advice
+	Why    string        // for the log and for people who read traces
+}
+
+// Caller is the party that asked for a call, as its front sees it. The methods must not block and must not
+// call back into the core.
+type Caller interface {
+	// Stands is the final answer that the call stands, with the description that a core gave for it.
+	Stands(key string, description []byte)
+	// Refuse is the final answer that it does not.
+	Refuse(key string, v Verdict)
+	// Release tells that a call that stood is over.
+	Release(key string, cause Cause)
+}
+
+// Attempt is a set-up sent to a core.
+type Attempt struct {
+	Key         string
+	Class       string
+	Number      string
+	Left        time.Duration // how long its outcome will be waited for
+	Description []byte
+}
+
+// Trunks carry attempts to the cores. The methods must not block and must not call back into the core.
+type Trunks interface {
+	// SetUp sends an attempt; what becomes of it arrives as Answered, Ended or Lost.
+	SetUp(to brookmux.SwitchID, a Attempt)
+	// Release gives a set-up up, or ends a call that stands.
+	Release(to brookmux.SwitchID, key string, cause Cause)
+	// ReleaseAnywhere ends a call whose core is not known, as after a restart.
+	ReleaseAnywhere(key string, cause Cause)
+}
+
+// Outcome is how a core ended an attempt or a call.
+type Outcome struct {
+	Result brookmux.Result
+	Reason brookmux.Reason
+	Report brookmux.Report
+	Cause  Cause
+}
--- /dev/null
+++ b/internal/core/engine.go
@@ -0,0 +1,225 @@
+package core
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"time"
+
+	"brookmux"
+	"brookmux/internal/settings"
+)
+
+const (
+	queueLength   = 4096
+	answerEarly   = 20 * time.Millisecond  // a final answer leaves this long before the caller's own deadline
+	guardLate     = 10 * time.Millisecond  // the guard on the deadline waits for the module this long
+	releaseMargin = 20 * time.Millisecond  // on the wait after a timeout, reset or cancel: peers may read late
+	recentSpan    = 30 * time.Second       // ended calls are remembered for one to two of these
+	drainLeast    = 700 * time.Millisecond // requests go on coming for so long after SIGTERM
+	countsEvery   = 10 * time.Second
+)
+
+// Config is what an Engine is made of.
+type Config struct {
+	Settings settings.Settings
+	Seed     uint64
+	Trunks   Trunks
+	Log      *slog.Logger
+	Origin   time.Time                     // the clock's zero; before any time that is handed in
+	Stray    func(key string, cause Cause) // releases a call that this process did not set up
+	Took     func()                        // called at the first request, may be nil
+}
+
+// Engine owns the module and the table of calls. Use New, then Run.
+type Engine struct {
+	Config
+	ctl     *brookmux.Controller
+	queue   chan func()
+	timers  timers
+	wake    *time.Timer
+	now     time.Duration // of the event being handled
+	classes map[string]int
+
+	calls    map[string]*call
+	byID     map[brookmux.CallID]*call
+	lastID   brookmux.CallID
+	switches map[brookmux.SwitchID]brookmux.Switch
+	recent   [2]map[string]struct{}
+	open     int // calls that are owed an answer
+	after    []func()
+	counts   Counts
+	drained  chan struct{}
+	drainAt  time.Duration
+	started  bool
+}
+
+// New returns an Engine, or an error that names the setting it can't serve.
+func New(c Config) (*Engine, error) {
+	e := &Engine{Config: c, queue: make(chan func(), queueLength), wake: time.NewTimer(time.Hour),
+		classes: map[string]int{}, calls: map[string]*call{}, byID: map[brookmux.CallID]*call{},
+		switches: map[brookmux.SwitchID]brookmux.Switch{}, drained: make(chan struct{})}
+	e.recent = [2]map[string]struct{}{{}, {}}
+	for i, name := range c.Settings.ClassNames {
+		e.classes[name] = i
+	}
+	module := c.Settings.Module
+	module.ReleaseWait += releaseMargin
+	var err error
+	if e.ctl, err = brookmux.New(module, c.Seed, host{e}); err != nil {
+		return nil, fmt.Errorf("core: %w", err)
+	}
+	return e, nil
+}
+
+// post hands an event to the owner; readers wait here while the queue is full.
+func (e *Engine) post(f func()) { e.queue <- f }
+
+// Run handles events until the context ends. A panic is returned as an error with its stack.
+func (e *Engine) Run(ctx context.Context) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("core: panic: %v\n%s", p, debug.Stack())
+		}
+	}()
+	e.tick()
+	e.in(countsEvery, e.report)
+	e.in(recentSpan, e.forget)
+	for {
+		select {
+		case f := <-e.queue:
+			e.tick()
+			f()
+		case <-e.wake.C:
+		case <-ctx.Done():
+			return nil
+		}
+		e.tick()
+		e.fire()
+		e.settle()
+		e.arm()
+	}
+}
+
+// tick reads the clock.
+func (e *Engine) tick() { e.now = time.Since(e.Origin) }
+
+// settle runs what had to wait until the module returned, such as an outcome that a guard made.
+func (e *Engine) settle() {
+	for len(e.after) > 0 {
+		f := e.after[0]
+		e.after = e.after[1:]
+		f()
+	}
+}
+
+// timer is an event to come. One that is no longer wanted is marked by a nil do.
+type timer struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+type timers struct {
+	list []*timer
+	seq  uint64
+}
+
+// Len, Less, Swap, Push and Pop implement heap.Interface.
+func (t *timers) Len() int { return len(t.list) }
+func (t *timers) Less(i, j int) bool {
+	a, b := t.list[i], t.list[j]
+	return a.at < b.at || a.at == b.at && a.seq < b.seq
+}
+func (t *timers) Swap(i, j int) { t.list[i], t.list[j] = t.list[j], t.list[i] }
+func (t *timers) Push(x any)    { t.list = append(t.list, x.(*timer)) }
+func (t *timers) Pop() any {
+	last := t.list[len(t.list)-1]
+	t.list[len(t.list)-1] = nil
+	t.list = t.list[:len(t.list)-1]
+	return last
+}
+
+// in runs f after a delay.
+func (e *Engine) in(delay time.Duration, f func()) *timer {
+	e.timers.seq++
+	t := &timer{at: e.now + max(0, delay), seq: e.timers.seq, do: f}
+	heap.Push(&e.timers, t)
+	return t
+}
+
+// stop takes a timer back.
+func (t *timer) stop() {
+	if t != nil {
+		t.do = nil
+	}
+}
+
+// fire runs the timers that are due; one that they add for now comes in the next round.
+func (e *Engine) fire() {
+	last := e.timers.seq
+	for e.timers.Len() > 0 && e.timers.list[0].at <= e.now && e.timers.list[0].seq <= last {
+		if t := heap.Pop(&e.timers).(*timer); t.do != nil {
+			t.do()
+		}
+	}
+}
+
+// arm sets the alarm for the next timer.
+func (e *Engine) arm() {
+	for e.timers.Len() > 0 && e.timers.list[0].do == nil {
+		heap.Pop(&e.timers)
+	}
+	if e.timers.Len() > 0 {
+		e.wake.Reset(max(0, e.timers.list[0].at-time.Since(e.Origin)))
+	}
+}
+
+// Listed takes the name service's word on the cores.
+func (e *Engine) Listed(m brookmux.Members) {
+	e.post(func() {
+		if m.Kind != brookmux.Delta {
+			for id, s := range e.switches {
+				s.State = brookmux.Gone
+				e.switches[id] = s
+			}
+		}
+		for _, s := range m.Switches {
+			e.switches[s.ID] = s
+		}
+		e.ctl.Members(e.now, m)
+	})
+}
+
+// Reported takes a core's report that belongs to no call.
+func (e *Engine) Reported(from brookmux.SwitchID, r brookmux.Report, unasked bool) {
+	e.post(func() { e.learn(from, r, unasked) })
+}
+
+// learn hands a report to the module.
+func (e *Engine) learn(from brookmux.SwitchID, r brookmux.Report, unasked bool) {
+	e.ctl.Probed(e.now, brookmux.ProbeResult{Switch: from, OK: true, Unasked: unasked, Report: r})
+}
+
+// Drain lets the open calls finish; the channel closes once none is owed an answer and no more can come.
+func (e *Engine) Drain() <-chan struct{} {
+	e.post(func() {
+		e.drainAt = e.now + drainLeast
+		e.in(drainLeast, e.checkDrained)
+	})
+	return e.drained
+}
+
+// checkDrained closes the channel of Drain when it is time.
+func (e *Engine) checkDrained() {
+	if e.drainAt == 0 || e.now < e.drainAt || e.open > 0 {
+		return
+	}
+	select {
+	case <-e.drained:
+	default:
+		close(e.drained)
+	}
+}
--- /dev/null
+++ b/internal/core/relay.go
@@ -0,0 +1,99 @@
+package core
+
+import "brookmux"
+
+// Answered takes a core's word that a call stands, with its description, and relays it.
+func (e *Engine) Answered(from brookmux.SwitchID, key string, description []byte, r brookmux.Report) {
+	e.post(func() {
+		e.learn(from, r, false)
+		c := e.calls[key]
+		if !c.has(from) || c.out.stands {
+			// It crossed the caller's CANCEL or the time-out: the core has been or is told to let go.
+			e.counts.LateAnswers++
+			return
+		}
+		l := c.out
+		l.timeout.stop()
+		l.stands = true
+		c.Description = nil
+		e.answer(c)
+		c.Caller.Stands(key, description)
+		e.ctl.Stands(e.now, brookmux.Stands{Call: c.id, Attempt: l.number, Took: e.now - l.at})
+	})
+}
+
+// Ended takes a core's end of an attempt or of a call that stood.
+func (e *Engine) Ended(from brookmux.SwitchID, key string, o Outcome) {
+	e.post(func() {
+		c := e.calls[key]
+		switch {
+		case c.has(from):
+			e.finishLeg(c, o)
+		case c == nil && !e.ended(key) && e.Stray != nil:
+			// Set up by an earlier process of this name: its caller still has to hear that it is over.
+			e.counts.Strays++
+			e.Stray(key, o.Cause)
+			e.remember(key)
+			e.learn(from, o.Report, false)
+		default:
+			e.learn(from, o.Report, false)
+		}
+	})
+}
+
+// Lost takes word that what was open at a core is lost: set-ups on a connection that is over, or, with cut,
+// calls that stood on a core that has died. An empty list of keys means every call there.
+func (e *Engine) Lost(at brookmux.SwitchID, keys []string, cut bool, o Outcome) {
+	e.post(func() {
+		if keys == nil {
+			for k, c := range e.calls {
+				if c.has(at) {
+					keys = append(keys, k)
+				}
+			}
+		}
+		for _, k := range keys {
+			if c := e.calls[k]; c.has(at) && (cut || !c.out.stands) {
+				e.finishLeg(c, o)
+			}
+		}
+	})
+}
+
+// finishLeg ends a call's open attempt and tells the module, which may send again or give the final answer.
+func (e *Engine) finishLeg(c *call, o Outcome) {
+	l := c.out
+	l.timeout.stop()
+	c.out = nil
+	switch o.Result {
+	case brookmux.ResultTimeout, brookmux.ResultReset, brookmux.ResultCancelled:
+		c.notUntil = e.now + e.Settings.Module.ReleaseWait
+	}
+	e.counts.outcome(o.Result, l.stands)
+	if l.stands {
+		c.Caller.Release(c.Key, o.Cause)
+	}
+	e.ctl.Ended(e.now, brookmux.Outcome{Call: c.id, Attempt: l.number, Switch: l.to, Result: o.Result,
+		Reason: o.Reason, Took: e.now - l.at, Over: l.stands, Report: o.Report})
+	if l.stands {
+		e.close(c)
+	}
+}
+
+// refuse gives the final answer that a call does not stand.
+func (e *Engine) refuse(c *call, v Verdict) {
+	if c.answered {
+		e.guard("second final answer", c)
+		return
+	}
+	if c.out != nil {
+		e.giveUp(c)
+	}
+	if v.Failed {
+		e.counts.Failed++
+	} else {
+		e.counts.Refused++
+	}
+	c.Caller.Refuse(c.Key, v)
+	e.close(c)
+}
--- /dev/null
+++ b/internal/corelink/message.go
@@ -0,0 +1,132 @@
+// Package corelink keeps the connections to the cores, which speak JSON lines: one connection a core, the
+// set-ups open on it, load reports and the state of groups.
+package corelink
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fastjson"
+
+	"brookmux"
+	"brookmux/internal/core"
+	"brookmux/internal/settings"
+)
+
+// message is one line from a core.
+type message struct {
+	kind, id, note string
+	cause          core.Cause
+	report         brookmux.Report
+	sdp            []byte
+}
+
+// errNoObject tells that a line holds no JSON object with a type.
+var errNoObject = errors.New("line holds no object with a type")
+
+// parse reads a line. The message shares nothing with it or with the parser.
+func parse(p *fastjson.Parser, line []byte) (message, error) {
+	v, err := p.ParseBytes(line)
+	if err != nil {
+		return message{}, fmt.Errorf("line can't be read: %w", err)
+	}
+	m := message{kind: string(v.GetStringBytes("type")), id: string(v.GetStringBytes("id")),
+		cause: core.Cause(v.GetInt("cause")), report: settings.NoReport(),
+		sdp: append([]byte(nil), v.GetStringBytes("sdp")...)}
+	if m.kind == "" {
+		return message{}, errNoObject
+	}
+	fields := v.Get("fields")
+	m.note = string(fields.GetStringBytes("note"))
+	readLoad(&m.report, string(fields.GetStringBytes("load")))
+	return m, nil
+}
+
+// readLoad reads a report such as "x0:12;x1:40;queue:3"; what can't be read is left absent.
+func readLoad(r *brookmux.Report, text string) {
+	for part := range strings.SplitSeq(text, ";") {
+		name, value, ok := strings.Cut(part, ":")
+		if f, err := strconv.ParseFloat(value, 64); ok && err == nil {
+			settings.Figure(r, strings.TrimSpace(name), f)
+		}
+	}
+}
+
+// outcome translates the end of an attempt or call.
+func (m message) outcome() core.Outcome {
+	o := core.Outcome{Report: m.report, Cause: m.cause}
+	switch m.cause {
+	case 16:
+		o.Result = brookmux.ResultOK
+	case 34:
+		o.Result = brookmux.ResultFull
+	case 41:
+		o.Result = brookmux.ResultReset
+	case 102:
+		o.Result = brookmux.ResultMoot
+	default: // 17, 47
+		o.Result = brookmux.ResultError
+	}
+	switch m.note {
+	case "blocked":
+		o.Reason = brookmux.ReasonNoCircuit
+	case "bounced":
+		o.Reason = brookmux.ReasonTurnedBack
+	case "far_swamped":
+		o.Reason = brookmux.ReasonFarFull
+	case "swamped":
+		o.Reason = brookmux.ReasonProcessorFull
+	case "occupied":
+		o.Reason = brookmux.ReasonLineBusy
+	}
+	return o
+}
+
+// setUpLine writes a set-up.
+func setUpLine(a core.Attempt) []byte {
+	b := make([]byte, 0, 160+len(a.Description)+len(a.Description)/8)
+	b = append(b, `{"type":"setup","id":`...)
+	b = appendText(b, a.Key)
+	b = append(b, `,"fields":{"class":`...)
+	b = appendText(b, a.Class)
+	b = append(b, `,"key":`...)
+	b = appendText(b, a.Number)
+	b = append(b, `,"left":"`...)
+	b = strconv.AppendInt(b, max(1, a.Left.Milliseconds()), 10)
+	b = append(b, `"},"sdp":`...)
+	b = appendText(b, a.Description)
+	return append(b, "}\n"...)
+}
+
+// causeLine writes a message that holds a cause only.
+func causeLine(kind, id string, cause core.Cause) []byte {
+	b := append([]byte(nil), `{"type":"`+kind+`","id":`...)
+	b = appendText(b, id)
+	b = append(b, `,"fields":{},"cause":`...)
+	b = strconv.AppendInt(b, int64(cause), 10)
+	return append(b, "}\n"...)
+}
+
+// appendText writes a JSON string that a reader turns back into the same bytes. fastjson's own writer quotes
+// as Go does (\x00, \a), which JSON readers refuse, so descriptions with control characters would be lost.
+func appendText[T string | []byte](b []byte, s T) []byte {
+	const hex = "0123456789abcdef"
+	b = append(b, '"')
+	for i := range len(s) {
+		switch ch := s[i]; {
+		case ch == '"' || ch == '\\':
+			b = append(b, '\\', ch)
+		case ch == '\n':
+			b = append(b, '\\', 'n')
+		case ch == '\r':
+			b = append(b, '\\', 'r')
+		case ch < 0x20:
+			b = append(b, '\\', 'u', '0', '0', hex[ch>>4], hex[ch&15])
+		default:
+			b = append(b, ch)
+		}
+	}
+	return append(b, '"')
+}
--- /dev/null
+++ b/internal/sipfront/front.go
@@ -0,0 +1,148 @@
+package sipfront
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"brookmux/internal/core"
+	"brookmux/internal/lifecycle"
+	"brookmux/internal/stream"
+)
+
+const (
+	byeAgain     = 2 * time.Second // releases written so shortly before a connection ended are written again
+	mostReleases = 8192            // releases kept for the next connection
+	acceptPause  = 20 * time.Millisecond
+)
+
+// Engine is what the front hands requests to. *core.Engine is one.
+type Engine interface {
+	Offer(r core.Request)
+	Withdraw(key string, then func(open bool))
+	CallerLost(who core.Caller, keys []string)
+	Hangup(key string, cause core.Cause, then func(known bool))
+}
+
+// Front holds the callers' connections.
+type Front struct {
+	engine Engine
+	phase  *lifecycle.Lifecycle
+	log    *slog.Logger
+	most   int // connections
+
+	mu     sync.Mutex
+	conns  map[*conn]struct{}
+	unsent []release // no connection was open for them
+}
+
+// release is a call that stood and is over.
+type release struct {
+	key   string
+	cause core.Cause
+}
+
+// New returns a Front that holds at most so many connections.
+func New(engine Engine, phase *lifecycle.Lifecycle, most int, log *slog.Logger) *Front {
+	return &Front{engine: engine, phase: phase, most: max(1, most), log: log, conns: map[*conn]struct{}{}}
+}
+
+// Serve accepts callers until the context ends or the listener fails.
+func (f *Front) Serve(ctx context.Context, l net.Listener) error {
+	defer context.AfterFunc(ctx, func() { l.Close() })()
+	for {
+		c, err := l.Accept()
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ECONNABORTED) || errors.Is(err, syscall.ENFILE):
+			f.log.Warn("accept", "error", err)
+			time.Sleep(acceptPause)
+		case err != nil:
+			return fmt.Errorf("sipfront: accept: %w", err)
+		default:
+			f.take(c)
+		}
+	}
+}
+
+// take starts a connection, in place of an idle one where there are as many as may be.
+func (f *Front) take(nc net.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.conns) >= f.most {
+		var idle *conn
+		for c := range f.conns {
+			if c.idle() && (idle == nil || c.last.Load() < idle.last.Load()) {
+				idle = c
+			}
+		}
+		if idle == nil {
+			f.log.Warn("too many connections", "open", len(f.conns))
+			nc.Close()
+			return
+		}
+		idle.Finish()
+		delete(f.conns, idle)
+	}
+	c := newConn(f, nc)
+	f.conns[c] = struct{}{}
+	unsent := f.unsent
+	f.unsent = nil
+	for _, r := range unsent {
+		c.bye(r)
+	}
+	go c.serve(stream.NewReader(nc))
+}
+
+// gone takes a connection off; the releases that may not have been read go out on another.
+func (f *Front) gone(c *conn) {
+	f.mu.Lock()
+	delete(f.conns, c)
+	f.mu.Unlock()
+	for _, r := range c.unheard() {
+		f.release(nil, r)
+	}
+}
+
+// release tells a caller that a call is over, on the connection named if it is open, else on any, else on
+// the next: no connection owns a call that stands.
+func (f *Front) release(on *conn, r release) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, open := f.conns[on]; open && on.bye(r) {
+		return
+	}
+	for c := range f.conns {
+		if c != on && c.bye(r) {
+			return
+		}
+	}
+	if len(f.unsent) < mostReleases {
+		f.unsent = append(f.unsent, r)
+	}
+}
+
+// Stray releases a call whose connection is not known, as one that an earlier process set up.
+func (f *Front) Stray(key string, cause core.Cause) { f.release(nil, release{key, cause}) }
+
+// Close ends all connections once what is queued on them has been written.
+func (f *Front) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		c.Finish()
+	}
+}
+
+// Open is how many connections there are.
+func (f *Front) Open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
