Take a core's normal clearing before the answer as a time-out, not as the end of a call

Checked: the guard's line now names the last result; it was ok, which the module takes as the end of a call that stood, so it forgot the call unanswered. Ruled out: a late timer (all fired within 1 ms) and a held call (sends=1, none waiting). At fault: relay.go finishLeg handed ResultOK on for a call that did not stand; message.go rounded left down, so the core's time ran out first.

--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -68,7 +68,8 @@
 // guard logs and counts that the core kept a rule in the module's place.
 func (e *Engine) guard(rule string, c *call) {
 	e.counts.Guards++
-	e.Config.Log.Warn("guard", "rule", rule, "call", c.Key, "sends", c.sends)
+	e.Config.Log.Warn("guard", "rule", rule, "call", c.Key, "sends", c.sends,
+		"out", c.out != nil, "last", c.last, "age", e.now-c.at, "left", c.Left, "transit", c.Transit)
 }
 
 // report writes the totals to the log now and then.
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -16,6 +16,8 @@
 	out      *leg          // the attempt that is out, or the one that stands
 	notUntil time.Duration // the wait after a timeout, reset or cancel
 	answered bool
+	at       time.Duration   // when it came
+	last     brookmux.Result // of its last attempt
 }
 
 // leg is an attempt.
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -63,8 +63,14 @@
 // finishLeg ends a call's open attempt and tells the module, which may send again or give the final answer.
 func (e *Engine) finishLeg(c *call, o Outcome) {
 	l := c.out
+	if o.Result == brookmux.ResultOK && !l.stands {
+		// A core that gives a set-up up at the end of its time says so with a normal clearing, often just
+		// before our own timer. To the module an end is no end of a call that never stood: it would wait
+		// for ever, and the caller with it.
+		o.Result = brookmux.ResultTimeout
+	}
 	l.timeout.stop()
-	c.out = nil
+	c.out, c.last = nil, o.Result
 	switch o.Result {
 	case brookmux.ResultTimeout, brookmux.ResultReset, brookmux.ResultCancelled:
 		c.notUntil = e.now + e.Settings.Module.ReleaseWait
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -26,7 +26,7 @@
 		}
 	}
 	e.lastID++
-	c := &call{Request: r, id: e.lastID, expires: e.now + r.Left - answerEarly}
+	c := &call{Request: r, id: e.lastID, at: e.now, expires: e.now + r.Left - answerEarly}
 	e.calls[r.Key], e.byID[c.id] = c, c
 	e.open++
 	e.counts.Taken++
--- a/internal/corelink/message.go
+++ b/internal/corelink/message.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/valyala/fastjson"
 
@@ -94,7 +95,7 @@
 	b = append(b, `,"key":`...)
 	b = appendText(b, a.Number)
 	b = append(b, `,"left":"`...)
-	b = strconv.AppendInt(b, max(1, a.Left.Milliseconds()), 10)
+	b = strconv.AppendInt(b, int64((a.Left+time.Millisecond-1)/time.Millisecond), 10)
 	b = append(b, `"},"sdp":`...)
 	b = appendText(b, a.Description)
 	return append(b, "}\n"...)
