M3UA front as server and client; recorded exchanges played against the program

The second front: codec, association states, circuits, server and client, on the same core as SIP; off unless deploy/m3ua.toml enables it.

--- a/cmd/brookmux/config.go
+++ b/cmd/brookmux/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fastjson"
 
+	"brookmux/internal/m3ua"
 	"brookmux/internal/settings"
 )
 
@@ -20,10 +21,11 @@
 	sockets                  int
 	known                    *fastjson.Value
 	settings                 settings.Settings
+	m3ua                     m3ua.Config
 }
 
 // load reads the configuration file; listen, where given, goes before what the file says.
-func load(path, listen string) (config, error) {
+func load(path, listen, m3uaFile string) (config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return config{}, fmt.Errorf("configuration: %w", err)
@@ -54,5 +56,8 @@
 	if c.settings, err = settings.FromValue(v.Get("settings")); err != nil {
 		return c, fmt.Errorf("configuration: %w", err)
 	}
+	if c.m3ua, err = m3ua.Load(m3uaFile); err != nil {
+		return c, err
+	}
 	return c, nil
 }
--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -21,6 +22,7 @@
 	"brookmux/internal/corelink"
 	"brookmux/internal/directory"
 	"brookmux/internal/lifecycle"
+	"brookmux/internal/m3ua"
 	"brookmux/internal/sipfront"
 )
 
@@ -30,17 +32,17 @@
 
 func main() {
 	log := slog.New(slog.NewTextHandler(os.Stdout, nil))
-	if err := run(context.Background(), log); err != nil {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	if err := run(context.Background(), os.Getenv, stop, log); err != nil {
 		log.Error("brookmux", "error", err)
 		os.Exit(1)
 	}
 }
 
 // run is the program from start to exit.
-func run(ctx context.Context, log *slog.Logger) error {
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	conf, err := load(os.Getenv("GW_CONFIG"), os.Getenv("GW_LISTEN"))
+func run(ctx context.Context, getenv func(string) string, stop <-chan os.Signal, log *slog.Logger) error {
+	conf, err := load(getenv("GW_CONFIG"), getenv("GW_LISTEN"), cmp.Or(getenv("BROOKMUX_M3UA"), "deploy/m3ua.toml"))
 	if err != nil {
 		return err
 	}
@@ -57,9 +59,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	pool := corelink.New(ctx, conf.settings.ConnectTimeout, log)
+	merge := &directory.Merge{}
+	links := &trunks{Pool: corelink.New(ctx, conf.settings.ConnectTimeout, log)}
+	links.m3ua = m3ua.NewClient(conf.m3ua, log, func(list []brookmux.Switch) { merge.Set("m3ua", brookmux.Full, list) })
 	var front *sipfront.Front
-	engine, err := core.New(core.Config{Settings: conf.settings, Seed: conf.seed, Trunks: pool, Log: log,
+	engine, err := core.New(core.Config{Settings: conf.settings, Seed: conf.seed, Trunks: links, Log: log,
 		Origin: reader.Origin,
 		Stray:  func(key string, cause core.Cause) { front.Stray(key, cause) },
 		Took:   func() { _ = phase.To(lifecycle.Serving) }, // not ahead when it already drains
@@ -67,24 +71,35 @@
 	if err != nil {
 		return err
 	}
-	pool.Serve(engine)
-	front = sipfront.New(engine, phase, conf.sockets/3, log)
+	links.Serve(engine)
+	merge.Told = engine.Listed
+	// Callers get a third of the descriptors, on whichever front they come; a peer that comes back may hold
+	// two for a moment.
+	callers := conf.sockets / 3
+	peers := min(2*len(conf.m3ua.Peers), callers/2)
+	front = sipfront.New(engine, phase, callers-peers, log)
 	listener, err := net.Listen("tcp", conf.listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	log.Info("sip listens", "address", listener.Addr().String())
 
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	go func() { failed <- engine.Run(ctx) }()
 	told := func(l directory.List, kind brookmux.ListKind) {
-		pool.Update(cores(l, conf.settings.Module.Here))
-		engine.Listed(l.Members(kind))
+		links.Update(cores(l, conf.settings.Module.Here))
+		merge.Set("names", kind, l.Switches())
 	}
 	told(known, brookmux.Cached)
 	go func() {
 		failed <- reader.Follow(ctx, conf.nameserver, known.Serial, log,
 			func(l directory.List) { told(l, brookmux.Full) })
 	}()
+	if conf.m3ua.Enabled {
+		if err := serveM3UA(ctx, conf, engine, links, peers, log, failed); err != nil {
+			return err
+		}
+	}
 	if err := phase.To(lifecycle.Ready); err != nil {
 		return err
 	}
@@ -105,10 +120,52 @@
 	}
 	front.Close()
 	cancel()
-	pool.Wait()
+	links.Wait()
 	return phase.To(lifecycle.Stopped)
 }
 
+// serveM3UA starts the second front.
+func serveM3UA(ctx context.Context, conf config, engine *core.Engine, links *trunks, peers int, log *slog.Logger,
+	failed chan<- error) error {
+	if conf.m3ua.Listen != "" {
+		l, err := net.Listen("tcp", conf.m3ua.Listen)
+		if err != nil {
+			return fmt.Errorf("m3ua: listen: %w", err)
+		}
+		log.Info("m3ua listens", "address", l.Addr().String())
+		deadlines := map[string]time.Duration{}
+		for i, name := range conf.settings.ClassNames {
+			deadlines[name] = conf.settings.Module.Classes[i].Deadline
+		}
+		server := m3ua.NewServer(conf.m3ua, engine, deadlines, peers, log)
+		go func() { failed <- server.Serve(ctx, l) }()
+	}
+	go links.m3ua.Run(ctx, engine)
+	return nil
+}
+
+// trunks are the ways to the cores: JSON lines, or M3UA for the exchanges that are reached by it.
+type trunks struct {
+	*corelink.Pool
+	m3ua *m3ua.Client
+}
+
+// SetUp implements core.Trunks, as do the methods below.
+func (t *trunks) SetUp(to brookmux.SwitchID, a core.Attempt) { t.to(to).SetUp(to, a) }
+
+// Release gives a set-up up, or ends a call.
+func (t *trunks) Release(to brookmux.SwitchID, key string, cause core.Cause) {
+	t.to(to).Release(to, key, cause)
+}
+
+// to is the way to a core.
+func (t *trunks) to(id brookmux.SwitchID) core.Trunks {
+	if t.m3ua.Serves(id) {
+		return t.m3ua
+	}
+	return t.Pool
+}
+
 // cores lists whom the pool connects to: all that run but the own exchange.
 func cores(l directory.List, here int) []corelink.Core {
 	var out []corelink.Core
--- /dev/null
+++ b/cmd/brookmux/main_test.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"brookmux/internal/playback"
+)
+
+// inProcess runs the program in the test's own process, where the race detector sees it.
+func inProcess(_ *testing.T, env map[string]string, out io.Writer) (func(), func() error) {
+	stop, done := make(chan os.Signal, 1), make(chan error, 1)
+	log := slog.New(slog.NewTextHandler(out, nil))
+	go func() {
+		done <- run(context.Background(), func(k string) string { return env[k] }, stop, log)
+	}()
+	return sync.OnceFunc(func() { stop <- syscall.SIGTERM }), sync.OnceValue(func() error { return <-done })
+}
+
+// TestExchanges plays the recorded exchanges.
+func TestExchanges(t *testing.T) { playback.Run(t, "testdata/*.txt", inProcess) }
+
+// TestBinary builds the program as it is deployed, starts it, speaks to it over sockets and ends it with
+// SIGTERM: it must exit with 0.
+func TestBinary(t *testing.T) {
+	bin := filepath.Join(t.TempDir(), "brookmux")
+	out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	playback.Run(t, "testdata/call_*.txt", func(t *testing.T, env map[string]string, out io.Writer) (func(), func() error) {
+		c := exec.Command(bin)
+		for k, v := range env {
+			c.Env = append(c.Env, k+"="+v)
+		}
+		c.Stdout, c.Stderr = out, out
+		require.NoError(t, c.Start())
+		return sync.OnceFunc(func() { _ = c.Process.Signal(syscall.SIGTERM) }), sync.OnceValue(c.Wait)
+	})
+}
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -10,12 +10,12 @@
 func (e *Engine) admit(c *call) {
 	class, ok := e.classes[c.Class]
 	if !ok {
-		e.refuse(c, Verdict{Failed: true, Why: "unknown class"})
+		e.refuse(c, Verdict{Failed: true, Cause: NotImplemented, Why: "unknown class"})
 		return
 	}
 	if most := e.Settings.MostHeld; most > 0 && e.open > most {
 		e.counts.Full++
-		e.refuse(c, Verdict{Wait: e.Settings.Module.MaxRetryAfter, Why: "too many calls open"})
+		e.refuse(c, Verdict{Wait: e.Settings.Module.MaxRetryAfter, Cause: Congestion, Why: "too many calls open"})
 		return
 	}
 	number, err := strconv.ParseUint(c.Number, 16, 64)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,8 +18,10 @@
 // The causes that the core itself uses.
 const (
 	NormalClearing   Cause = 16
-	NetworkOutOfOrd  Cause = 38
 	TemporaryFailure Cause = 41
+	Congestion       Cause = 42 // switching equipment congestion
+	NotImplemented   Cause = 79 // service or option not implemented
+	TimerExpiry      Cause = 102
 )
 
 // Request is a set-up that a front has taken.
@@ -40,7 +42,8 @@
 type Verdict struct {
 	Failed bool          // given up, and trying again may do harm; else turned away
 	Wait   time.Duration // how long the caller should stay away, 0 for no advice
-	Why    string        // for the log and for people who read traces
+	Cause  Cause
+	Why    string // for the log and for people who read traces
 }
 
 // Caller is the party that asked for a call, as its front sees it. The methods must not block and must not
@@ -80,3 +83,15 @@
 	Report brookmux.Report
 	Cause  Cause
 }
+
+// Events take what is heard of the cores. *Engine is one.
+type Events interface {
+	// Answered tells that a call stands, with the core's description.
+	Answered(from brookmux.SwitchID, key string, description []byte, r brookmux.Report)
+	// Ended tells how a core ended an attempt, or a call that stood.
+	Ended(from brookmux.SwitchID, key string, o Outcome)
+	// Lost tells that what was open at a core is lost; see Engine.Lost.
+	Lost(at brookmux.SwitchID, keys []string, cut bool, o Outcome)
+	// Reported hands on a core's report that belongs to no call.
+	Reported(from brookmux.SwitchID, r brookmux.Report, unasked bool)
+}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -53,14 +53,22 @@
 // Refuse and Fail are the module's final answers.
 func (h host) Refuse(id brookmux.CallID, wait time.Duration) {
 	if c := h.e.byID[id]; c != nil {
-		h.e.refuse(c, Verdict{Wait: wait, Why: "turned away"})
+		h.e.refuse(c, Verdict{Wait: wait, Cause: h.e.cause(c), Why: "turned away"})
 	}
 }
 
+// cause is that of a call turned away: its time ran out, or there was no room for it.
+func (e *Engine) cause(c *call) Cause {
+	if e.now >= c.expires {
+		return TimerExpiry
+	}
+	return Congestion
+}
+
 // Fail gives the call up.
 func (h host) Fail(id brookmux.CallID) {
 	if c := h.e.byID[id]; c != nil {
-		h.e.refuse(c, Verdict{Failed: true, Why: "given up"})
+		h.e.refuse(c, Verdict{Failed: true, Cause: TemporaryFailure, Why: "given up"})
 	}
 }
 
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -42,7 +42,7 @@
 	e.guard("deadline", c)
 	e.giveUp(c)
 	e.ctl.Left(e.now, c.id)
-	e.refuse(c, Verdict{Why: "deadline passed"})
+	e.refuse(c, Verdict{Cause: TimerExpiry, Why: "deadline passed"})
 }
 
 // Withdraw takes word that the caller no longer waits for a set-up. then runs, in the owner's goroutine,
--- a/internal/corelink/pool.go
+++ b/internal/corelink/pool.go
@@ -25,14 +25,6 @@
 	defaultWithin = 500 * time.Millisecond
 )
 
-// Events take what the cores say. *core.Engine is one.
-type Events interface {
-	Answered(from brookmux.SwitchID, key string, description []byte, r brookmux.Report)
-	Ended(from brookmux.SwitchID, key string, o core.Outcome)
-	Lost(at brookmux.SwitchID, keys []string, cut bool, o core.Outcome)
-	Reported(from brookmux.SwitchID, r brookmux.Report, unasked bool)
-}
-
 // Core is a line of the list: a core that may be reached.
 type Core struct {
 	ID    brookmux.SwitchID
@@ -43,7 +35,7 @@
 // Pool is the set of connections. Use New; Update says which cores there are.
 type Pool struct {
 	ctx    context.Context
-	events Events
+	events core.Events
 	log    *slog.Logger
 	within time.Duration // a connection must come up in this time
 
@@ -79,7 +71,7 @@
 }
 
 // Serve names who takes the events; it is called once, before Update.
-func (p *Pool) Serve(events Events) { p.events = events }
+func (p *Pool) Serve(events core.Events) { p.events = events }
 
 // Update takes the whole list of the cores that run. Calls on a core that is no longer there, or that has
 // started again, are over.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -7,11 +7,13 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -247,11 +249,34 @@
 	}
 }
 
-// Members is the list in the module's words.
-func (l List) Members(kind brookmux.ListKind) brookmux.Members {
-	m := brookmux.Members{Kind: kind}
+// Switches are the list's lines in the module's words.
+func (l List) Switches() []brookmux.Switch {
+	var out []brookmux.Switch
 	for _, e := range l.Entries {
-		m.Switches = append(m.Switches, e.Switch)
+		out = append(out, e.Switch)
 	}
-	return m
+	return out
+}
+
+// Merge joins the lists of several sources into the one that the module knows.
+type Merge struct {
+	Told func(brookmux.Members) // called in the order of the changes
+
+	mu    sync.Mutex
+	parts map[string][]brookmux.Switch
+}
+
+// Set takes a source's whole list.
+func (m *Merge) Set(source string, kind brookmux.ListKind, list []brookmux.Switch) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.parts == nil {
+		m.parts = map[string][]brookmux.Switch{}
+	}
+	m.parts[source] = list
+	all := brookmux.Members{Kind: kind}
+	for _, name := range slices.Sorted(maps.Keys(m.parts)) {
+		all.Switches = append(all.Switches, m.parts[name]...)
+	}
+	m.Told(all)
 }
--- /dev/null
+++ b/internal/m3ua/server.go
@@ -0,0 +1,269 @@
+package m3ua
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"brookmux/internal/core"
+)
+
+// Engine is what the server hands requests to. *core.Engine is one.
+type Engine interface {
+	Offer(r core.Request)
+	CallerLost(who core.Caller, keys []string)
+	Hangup(key string, cause core.Cause, then func(known bool))
+}
+
+// Causes that the server gives itself (Q.850).
+const (
+	causeNoRoute       core.Cause = 3
+	causeInvalidNumber core.Cause = 28
+)
+
+// Server takes calls from peers.
+type Server struct {
+	Config
+	engine    Engine
+	log       *slog.Logger
+	deadlines map[string]time.Duration // by class: for an IAM that names none, and the most that it may name
+	classes   map[uint8]string
+	exchanges map[uint32]int // by point code
+	most      int
+
+	mu    sync.Mutex
+	peers map[uint32]*peer // by ASP identifier
+	open  int
+}
+
+// peer is a configured peer with its circuits, a group for each point code that it calls.
+type peer struct {
+	Peer
+	server  *Server
+	mu      sync.Mutex
+	groups  map[uint32]*group
+	session *session // the active association, nil if there is none
+}
+
+// NewServer returns a Server that holds at most so many associations. deadlines are the classes' own.
+func NewServer(c Config, engine Engine, deadlines map[string]time.Duration, most int, log *slog.Logger) *Server {
+	s := &Server{Config: c, engine: engine, log: log, deadlines: deadlines, most: max(1, most),
+		classes: map[uint8]string{}, exchanges: map[uint32]int{}, peers: map[uint32]*peer{}}
+	for _, k := range c.Classes {
+		s.classes[k.Category] = k.Name
+	}
+	for _, e := range c.Exchanges {
+		s.exchanges[e.PointCode] = e.Number
+	}
+	for _, p := range c.Peers {
+		s.peers[p.ASP] = &peer{Peer: p, server: s, groups: map[uint32]*group{}}
+	}
+	return s
+}
+
+// Serve accepts associations until the context ends or the listener fails.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	defer context.AfterFunc(ctx, func() { l.Close() })()
+	for {
+		conn, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("m3ua: accept: %w", err)
+		}
+		s.mu.Lock()
+		full := s.open >= s.most
+		if !full {
+			s.open++
+		}
+		s.mu.Unlock()
+		if full {
+			s.log.Warn("m3ua: too many associations")
+			conn.Close()
+			continue
+		}
+		go s.take(ctx, conn)
+	}
+}
+
+// take serves an association to its end.
+func (s *Server) take(ctx context.Context, conn net.Conn) {
+	x := newSession(conn, s.RoutingContext, s.log)
+	var p *peer
+	x.accept = func(asp uint32, named bool) *codeError {
+		if s.peers[asp] == nil || !named {
+			return &codeError{errNoAS, fmt.Sprintf("ASP identifier %d", asp)}
+		}
+		if p != nil && p != s.peers[asp] {
+			return &codeError{errUnexpected, "ASP identifier changed"}
+		}
+		p = s.peers[asp]
+		return nil
+	}
+	x.changed = func(to State) {
+		s.log.Info("m3ua association", "asp", p.ASP, "state", to.String())
+		p.changed(x, to == Active)
+	}
+	x.data = func(t transfer, m isup) error { return p.data(t, m) }
+	err := x.run(ctx, ms(s.Timers.Beat), ms(s.Timers.Ack))
+	if ctx.Err() == nil {
+		s.log.Info("m3ua association over", "error", err)
+	}
+	s.mu.Lock()
+	s.open--
+	s.mu.Unlock()
+}
+
+// changed takes an association's start or end. A new one takes an older one's place: the peer has come back
+// before the end of the old one was seen.
+func (p *peer) changed(x *session, active bool) {
+	p.mu.Lock()
+	old := p.session
+	switch {
+	case active:
+		p.session = x
+	case old == x:
+		p.session = nil
+	default:
+		p.mu.Unlock()
+		return
+	}
+	groups := make(map[uint32]*group, len(p.groups))
+	for dpc, g := range p.groups {
+		groups[dpc] = g
+	}
+	p.mu.Unlock()
+	if old != nil && old != x {
+		old.Close()
+	}
+	for dpc, g := range groups {
+		if active {
+			if old != nil {
+				p.lost(g)
+			}
+			g.up(x.isup(dpc, p.PointCode))
+		} else {
+			p.lost(g)
+		}
+	}
+}
+
+// lost withdraws the set-ups that were open on an association that is over. Calls that stand go on.
+func (p *peer) lost(g *group) {
+	for _, c := range g.down() {
+		g.clear(c.cic)
+		p.server.engine.CallerLost(c.owner.(*caller), []string{c.key})
+	}
+}
+
+// group returns the circuits to a point code.
+func (p *peer) group(dpc uint32) *group {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.groups[dpc]
+	if g == nil {
+		g = newGroup(ms(p.server.Timers.T1))
+		p.groups[dpc] = g
+		if p.session != nil {
+			g.send = p.session.isup(dpc, p.PointCode)
+		}
+	}
+	return g
+}
+
+// data takes an ISUP message from the peer.
+func (p *peer) data(t transfer, m isup) error {
+	_, known := p.server.exchanges[t.dpc]
+	if t.opc != p.PointCode {
+		return &codeError{errProtocol, fmt.Sprintf("point code %d is not the peer's", t.opc)}
+	}
+	if !known && m.kind != kindIAM {
+		return nil // of a call that was refused for its destination
+	}
+	g := p.group(t.dpc)
+	switch c, at := g.at(m.cic); m.kind {
+	case kindIAM:
+		p.offer(g, t.dpc, m)
+	case kindREL:
+		if c != nil && at != releasing {
+			// The circuit is free from RLC on; an ANM that crosses this REL finds it gone.
+			g.clear(m.cic)
+			p.server.engine.Hangup(c.key, m.cause, func(bool) {})
+		} else if c != nil {
+			g.clear(m.cic) // both ends released it
+		}
+		g.say(isup{cic: m.cic, kind: kindRLC})
+	case kindRLC:
+		if at == releasing {
+			g.clear(m.cic)
+		}
+	}
+	return nil
+}
+
+// offer takes a call.
+func (p *peer) offer(g *group, dpc uint32, m isup) {
+	s := p.server
+	key := newKey()
+	w := &caller{group: g}
+	w.circuit = g.seize(m.cic, key, w)
+	if w.circuit == nil {
+		s.log.Warn("m3ua: IAM for a circuit in use", "asp", p.ASP, "cic", m.cic)
+		return // the circuit's first call is still owed its one answer
+	}
+	class, ok := s.classes[m.category]
+	destination, routed := s.exchanges[dpc]
+	switch {
+	case !routed:
+		w.Refuse(key, core.Verdict{Cause: causeNoRoute})
+		return
+	case !ok:
+		w.Refuse(key, core.Verdict{Cause: core.NotImplemented})
+		return
+	case m.number == "":
+		w.Refuse(key, core.Verdict{Cause: causeInvalidNumber})
+		return
+	}
+	r := core.Request{Key: key, Class: class, Number: m.number, Left: m.left, Destination: destination, Width: 1,
+		Via: -1, Description: m.description, Caller: w}
+	if most := s.deadlines[class]; r.Left <= 0 || most > 0 && r.Left > most {
+		r.Left = most
+	}
+	if from, ok := s.exchanges[p.PointCode]; ok {
+		r.Transit, r.Via = true, from
+	}
+	g.say(isup{cic: m.cic, kind: kindACM})
+	s.engine.Offer(r)
+}
+
+// newKey makes a call's name: 16 hex digits.
+func newKey() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
+	return hex.EncodeToString(b[:])
+}
+
+// caller is the core's Caller for one call.
+type caller struct {
+	group   *group
+	circuit *circuit
+}
+
+// Stands implements core.Caller.
+func (c *caller) Stands(_ string, description []byte) {
+	if c.group.answer(c.circuit) {
+		c.group.say(isup{cic: c.circuit.cic, kind: kindANM, description: description})
+	}
+}
+
+// Refuse implements core.Caller.
+func (c *caller) Refuse(_ string, v core.Verdict) { c.group.release(c.circuit, v.Cause, v.Wait) }
+
+// Release implements core.Caller.
+func (c *caller) Release(_ string, cause core.Cause) { c.group.release(c.circuit, cause, 0) }
--- /dev/null
+++ b/internal/playback/ledger.go
@@ -0,0 +1,156 @@
+package playback
+
+import (
+	"encoding/binary"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fastjson"
+)
+
+// ledger is what was seen of every call, on whichever wire, and the rules that it must keep.
+type ledger struct {
+	t     *testing.T
+	asked map[string]int       // by caller and call: set-ups sent to the program
+	final map[string]int       // by caller and call: final answers got
+	moot  map[string]bool      // given up by the caller, or its connection ended: no answer is owed
+	out   map[string]string    // by call: the core that has an attempt
+	bad   map[string]time.Time // by call: when an attempt was given up or reset
+}
+
+const releaseWait = 300 * time.Millisecond
+
+// key names a call on a caller's connection.
+func key(actor, call string) string { return actor + "/" + call }
+
+func newLedger(t *testing.T) *ledger {
+	return &ledger{t: t, asked: map[string]int{}, final: map[string]int{}, moot: map[string]bool{},
+		out: map[string]string{}, bad: map[string]time.Time{}}
+}
+
+// sent books what an actor sends.
+func (l *ledger) sent(actor string, b []byte) {
+	switch actor[0] {
+	case 'c':
+		v, err := fastjson.ParseBytes(b)
+		if err != nil {
+			return // on purpose malformed
+		}
+		call := string(v.GetStringBytes("id"))
+		if string(v.GetStringBytes("type")) == "release" {
+			l.ended(actor, call, v.GetInt("cause") == 41)
+		}
+	case 'p':
+		if kind, cic := isup(b); kind == 0x01 {
+			l.asked[key(actor, cic)]++
+		} else if kind == 0x0c {
+			l.moot[key(actor, cic)] = true
+		}
+	case 'x':
+		if kind, cic := isup(b); kind == 0x0c {
+			l.ended(actor, actor+cic, false)
+		}
+	default:
+		method, _, _ := strings.Cut(string(b), " ")
+		if method == "INVITE" {
+			l.asked[key(actor, callID(b))]++
+		} else if method == "CANCEL" {
+			l.moot[key(actor, callID(b))] = true
+		}
+	}
+}
+
+// got books what an actor gets from the program.
+func (l *ledger) got(actor string, b []byte) {
+	switch actor[0] {
+	case 'c':
+		v, err := fastjson.ParseBytes(b)
+		require.NoError(l.t, err)
+		call := string(v.GetStringBytes("id"))
+		switch string(v.GetStringBytes("type")) {
+		case "setup":
+			l.begun(actor, call)
+		case "release":
+			l.ended(actor, call, true)
+		}
+	case 'p':
+		if kind, cic := isup(b); kind == 0x09 || kind == 0x0c && l.final[key(actor, cic)] == 0 {
+			l.final[key(actor, cic)]++
+		}
+	case 'x':
+		if kind, cic := isup(b); kind == 0x01 {
+			l.begun(actor, actor+cic)
+		} else if kind == 0x0c {
+			l.ended(actor, actor+cic, true)
+		}
+	default:
+		if strings.HasPrefix(string(b), "SIP/2.0 ") && strings.Contains(string(b), " INVITE\r\n") && b[8] > '1' {
+			l.final[key(actor, callID(b))]++
+		}
+	}
+}
+
+// begun books a set-up: no other may be out, and the release wait must be over.
+func (l *ledger) begun(core, call string) {
+	require.Empty(l.t, l.out[call], "%s gets call %s while %s has it", core, call, l.out[call])
+	if since, ok := l.bad[call]; ok {
+		require.GreaterOrEqual(l.t, time.Since(since), releaseWait, "call %s is sent again too soon", call)
+	}
+	l.out[call] = core
+}
+
+// ended books the end of an attempt; after a bad one the release wait runs.
+func (l *ledger) ended(core, call string, bad bool) {
+	if l.out[call] == core {
+		delete(l.out, call)
+		if bad {
+			l.bad[call] = time.Now()
+		}
+	}
+}
+
+// over books the end of a connection: attempts on it are reset, callers on it are owed nothing.
+func (l *ledger) over(actor string) {
+	for call, core := range l.out {
+		if core == actor {
+			l.ended(actor, call, true)
+		}
+	}
+	for k := range l.asked {
+		if strings.HasPrefix(k, actor+"/") {
+			l.moot[k] = true
+		}
+	}
+}
+
+// check asserts that every call got its one final answer.
+func (l *ledger) check() {
+	for k := range l.asked {
+		if l.moot[k] {
+			require.LessOrEqual(l.t, l.final[k], 1, "final answers to %s", k)
+		} else {
+			require.Equal(l.t, 1, l.final[k], "final answers to %s", k)
+		}
+	}
+}
+
+// callID reads a SIP message's call.
+func callID(b []byte) string {
+	_, rest, _ := strings.Cut(string(b), "\r\nCall-ID: ")
+	id, _, _ := strings.Cut(rest, "\r\n")
+	return id
+}
+
+// isup reads the type and circuit of the ISUP message in an M3UA DATA message, in which the protocol data
+// comes last.
+func isup(b []byte) (kind byte, cic string) {
+	const routingContext, label = 8, 4 + 12
+	if len(b) < 8+routingContext+label+3 || b[2] != 1 || b[3] != 1 {
+		return 0, ""
+	}
+	u := b[8+routingContext+label:]
+	return u[2], fmt.Sprint(binary.LittleEndian.Uint16(u))
+}
--- /dev/null
+++ b/internal/playback/playback.go
@@ -0,0 +1,484 @@
+// Package playback is the tests' one helper: it plays a recorded byte exchange from a text file against the
+// program. The file's blocks are steps, each "== ACTOR VERB" with the bytes below it:
+//
+//	a, b ...   callers, SIP: lines up to an empty one, then the body on one line, with \r \n \xHH
+//	c1, c2 ... cores by exchange number, JSON lines
+//	p1, p2 ... M3UA peers by ASP identifier, hex; what follows a ; is a comment
+//	x5 ...     exchanges that the program reaches by M3UA, by number, hex
+//	names      the name service: "list SERIAL", then lines "c1 ready" or "c2 draining"
+//	program    "stops" (it is told to), "exits" (without an error)
+//
+// Verbs are sends, gets, gets after 300ms (since the last step, at least), closes, resets, refuses (closes and
+// accepts nothing more) and is closed. In what is got, <*> stands for any word, and <name> for one that is the
+// same wherever it stands; .. is any byte. The first lines name who is there: "cores 1 2", "m3ua 5".
+//
+// When the steps are over the program is stopped. Nothing that no step expected may have arrived by then,
+// and the ledger of all that was seen must keep the rules.
+package playback
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/net/dns/dnsmessage"
+)
+
+const patience = 20 * time.Second // for anything to arrive: only a failure takes so long
+
+// Program starts the program with these variables; its log goes to out. stop tells it to end, wait returns
+// how it ended.
+type Program func(t *testing.T, env map[string]string, out io.Writer) (stop func(), wait func() error)
+
+// Run plays every file of a pattern as a subtest.
+func Run(t *testing.T, pattern string, start Program) {
+	files, err := filepath.Glob(pattern)
+	require.NoError(t, err)
+	require.NotEmpty(t, files, pattern)
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			text, err := os.ReadFile(f)
+			require.NoError(t, err)
+			play(t, string(text), start)
+		})
+	}
+}
+
+// stage is a play under way.
+type stage struct {
+	t       *testing.T
+	actors  map[string]*actor
+	words   map[string]string
+	log     *log
+	names   net.PacketConn
+	answer  []byte
+	mu      sync.Mutex
+	last    time.Time
+	ledger  *ledger
+	stop    func()
+	wait    func() error
+	stopped bool
+}
+
+// actor is one end of what the program speaks with.
+type actor struct {
+	name, addr string
+	listener   net.Listener // of a core or an exchange
+	conns      chan net.Conn
+	conn       net.Conn
+	r          *bufio.Reader
+}
+
+// play runs one file.
+func play(t *testing.T, text string, start Program) {
+	head, rest, ok := strings.Cut(text, "\n== ")
+	require.True(t, ok, "no steps")
+	s := &stage{t: t, actors: map[string]*actor{}, words: map[string]string{}, log: newLog(), last: time.Now(),
+		ledger: newLedger(t)}
+	t.Cleanup(s.close)
+	s.open(head, start)
+	for step := range strings.SplitSeq(rest, "\n== ") {
+		line, payload, _ := strings.Cut(step, "\n")
+		lines := strings.Split(payload, "\n")
+		for i := range lines {
+			if strings.HasPrefix(lines[i], "#") {
+				lines = lines[:i] // a comment ends the block
+				break
+			}
+		}
+		s.step(strings.Fields(line), strings.TrimRight(strings.Join(lines, "\n"), "\n"))
+	}
+	s.finish()
+}
+
+// open sets the actors up and starts the program.
+func (s *stage) open(head string, start Program) {
+	listed, toml := "", "enabled = true\nlisten = \"127.0.0.1:0\"\npoint_code = 100\nrouting_context = 1\n"+
+		"[timers]\ngone_ms = 1000\n"+
+		"[[class]]\ncategory = 10\nname = \"page\"\n[[class]]\ncategory = 11\nname = \"update\"\n"+
+		"[[exchange]]\nnumber = 1\npoint_code = 101\n[[exchange]]\nnumber = 5\npoint_code = 105\n"+
+		"[[peer]]\nasp = 1\npoint_code = 201\n[[peer]]\nasp = 2\npoint_code = 105\n"
+	for line := range strings.SplitSeq(head, "\n") {
+		kind, numbers, _ := strings.Cut(line, " ")
+		for n := range strings.FieldsSeq(numbers) {
+			switch kind {
+			case "cores":
+				a := s.listen("c" + n)
+				listed += fmt.Sprintf(`,{"id":"s-0000000%s","host_port":%q,"locality":"east","flavor":"std","cell":%s,`+
+					`"phase":"Ready","size":1,"up_since_ms":0}`, n, a.addr, n)
+			case "m3ua":
+				a := s.listen("x" + n)
+				toml += fmt.Sprintf("[[link]]\nid = %s\nnumber = %s\naddress = %q\npoint_code = 10%s\nasp = 9\ncircuits = 2\n",
+					n, n, a.addr, n)
+			}
+		}
+	}
+	var err error
+	s.names, err = net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	go s.serveNames()
+	dir := s.t.TempDir()
+	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,
+"sockets":1024},"nameserver":%q,"known":{"rev":1,"notices":[{"rev":1,"pool":{"revision":1,"complete":true,"members":[%s]}}]},
+"settings":{"instances":2,"classes":[{"name":"page","aimMs":1500,"deadlineMs":9000,"gain":1},
+{"name":"update","aimMs":1000,"deadlineMs":6000,"gain":8}],"zones":["east"],"loadReport":{"how":"piggyback",
+"names":["idle","circuits","avg_ms"]},"permissions":{"maxAttempts":6,"retryAfter":true,"maxRetryAfterMs":2000,
+"connectTimeoutMs":500},"rules":{"warmWithinMs":14000,"coldFrom":0.3,"fallMultiple":4},"specifics":{"here":0,
+"releaseGuardMs":300}}}`, s.names.LocalAddr(), strings.TrimPrefix(listed, ","))
+	env := map[string]string{"GW_CONFIG": filepath.Join(dir, "config.json"), "BROOKMUX_M3UA": filepath.Join(dir, "m3ua.toml")}
+	require.NoError(s.t, os.WriteFile(env["GW_CONFIG"], []byte(config), 0o600))
+	require.NoError(s.t, os.WriteFile(env["BROOKMUX_M3UA"], []byte(toml), 0o600))
+	s.stop, s.wait = start(s.t, env, s.log)
+}
+
+// listen sets up an actor that the program connects to.
+func (s *stage) listen(name string) *actor {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	a := &actor{name: name, addr: l.Addr().String(), listener: l, conns: make(chan net.Conn, 64)}
+	s.actors[name] = a
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			a.conns <- c
+		}
+	}()
+	return a
+}
+
+// step plays one step.
+func (s *stage) step(words []string, payload string) {
+	name, verb := words[0], strings.Join(words[1:], " ")
+	switch {
+	case name == "program" && verb == "stops":
+		s.stopped = true
+		s.stop()
+	case name == "program" && verb == "exits":
+		require.NoError(s.t, s.wait(), "%s", s.log)
+	case name == "log":
+		require.True(s.t, s.log.await(payload), "the log never had %q:\n%s", payload, s.log)
+	case name == "names":
+		s.list(words[2], payload)
+	default:
+		s.act(s.actor(name), verb, payload)
+	}
+	s.last = time.Now()
+}
+
+// act plays an actor's step.
+func (s *stage) act(a *actor, verb, payload string) {
+	a.connect(s)
+	switch {
+	case verb == "sends":
+		b := a.encode(s, payload)
+		s.ledger.sent(a.name, b)
+		_, err := a.conn.Write(b)
+		require.NoError(s.t, err)
+	case strings.HasPrefix(verb, "gets"):
+		got, err := a.read()
+		require.NoError(s.t, err, "%s waits for:\n%s\nlog:\n%s", a.name, payload, s.log)
+		if d, err := time.ParseDuration(strings.TrimPrefix(verb, "gets after ")); err == nil {
+			require.GreaterOrEqual(s.t, time.Since(s.last), d, "%s got it too soon", a.name)
+		}
+		s.ledger.got(a.name, got)
+		s.match(a, payload, got)
+	case verb == "is closed":
+		got, err := a.read()
+		require.Error(s.t, err, "%s got %q", a.name, got)
+		a.conn = nil
+	case verb == "closes", verb == "resets", verb == "refuses":
+		if verb == "refuses" {
+			a.listener.Close()
+		}
+		if t := a.conn.(*net.TCPConn); verb != "closes" {
+			require.NoError(s.t, t.SetLinger(0))
+		}
+		s.ledger.over(a.name)
+		a.conn.Close()
+		a.conn = nil
+	default:
+		require.Fail(s.t, "unknown verb", "%s %s", a.name, verb)
+	}
+}
+
+// actor returns an actor; a caller or a peer is made when first named.
+func (s *stage) actor(name string) *actor {
+	if s.actors[name] == nil {
+		require.NotContains(s.t, "cx", name[:1], "%s is not at the top of the file", name)
+		s.actors[name] = &actor{name: name}
+	}
+	return s.actors[name]
+}
+
+// connect opens the actor's connection, or takes the program's next one.
+func (a *actor) connect(s *stage) {
+	if a.conn != nil {
+		return
+	}
+	if a.listener != nil {
+		select {
+		case a.conn = <-a.conns:
+		case <-time.After(patience):
+			require.Fail(s.t, "no connection", "%s\n%s", a.name, s.log)
+		}
+	} else {
+		front := "sip listens"
+		if a.name[0] == 'p' {
+			front = "m3ua listens"
+		}
+		var err error
+		a.conn, err = net.Dial("tcp", s.log.address(s.t, front))
+		require.NoError(s.t, err)
+	}
+	a.r = bufio.NewReaderSize(a.conn, 1<<16)
+}
+
+func (a *actor) hex() bool { return a.name[0] == 'p' || a.name[0] == 'x' }
+
+// encode turns a payload into bytes.
+func (a *actor) encode(s *stage, payload string) []byte {
+	for k, v := range s.words {
+		payload = strings.ReplaceAll(payload, "<"+k+">", v)
+	}
+	switch {
+	case a.hex():
+		b, err := hex.DecodeString(plainHex(payload))
+		require.NoError(s.t, err)
+		return b
+	case a.name[0] == 'c':
+		return []byte(payload + "\n")
+	}
+	head, body, _ := strings.Cut(payload, "\n\n")
+	body, err := strconv.Unquote(`"` + strings.ReplaceAll(body, `"`, `\"`) + `"`)
+	require.NoError(s.t, err)
+	return []byte(strings.ReplaceAll(head, "\n", "\r\n") + "\r\n\r\n" + body)
+}
+
+// plainHex strips comments and blanks.
+func plainHex(payload string) string {
+	var b strings.Builder
+	for line := range strings.SplitSeq(payload, "\n") {
+		line, _, _ = strings.Cut(line, ";")
+		b.WriteString(strings.ReplaceAll(strings.TrimSpace(line), " ", ""))
+	}
+	return b.String()
+}
+
+// read reads one message.
+func (a *actor) read() ([]byte, error) {
+	if err := a.conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		return nil, err
+	}
+	switch {
+	case a.hex():
+		head, err := a.r.Peek(8)
+		if err != nil {
+			return nil, err
+		}
+		b := make([]byte, int(head[6])<<8|int(head[7]))
+		_, err = io.ReadFull(a.r, b)
+		return b, err
+	case a.name[0] == 'c':
+		return a.r.ReadBytes('\n')
+	}
+	var raw bytes.Buffer
+	for n := 0; ; {
+		line, err := a.r.ReadString('\n')
+		if raw.WriteString(line); err != nil {
+			return nil, err
+		}
+		if v, ok := strings.CutPrefix(line, "Content-Length: "); ok {
+			if n, err = strconv.Atoi(strings.TrimSpace(v)); err != nil {
+				return nil, err
+			}
+		}
+		if line == "\r\n" {
+			_, err = io.CopyN(&raw, a.r, int64(n))
+			return raw.Bytes(), err
+		}
+	}
+}
+
+// match compares what was got with the step.
+func (s *stage) match(a *actor, want string, got []byte) {
+	shown := string(got)
+	if a.hex() {
+		want, shown = plainHex(want), hex.EncodeToString(got)
+	} else {
+		want = string(a.encode(s, want))
+	}
+	var pattern strings.Builder
+	var names []string
+	for {
+		before, rest, ok := strings.Cut(want, "<")
+		name, after, closed := strings.Cut(rest, ">")
+		pattern.WriteString(regexp.QuoteMeta(before))
+		if !ok || !closed {
+			break
+		}
+		names, want = append(names, name), after
+		pattern.WriteString(`([0-9A-Za-z.:-]+)`)
+	}
+	text := pattern.String()
+	if a.hex() {
+		text = strings.ReplaceAll(text, `\.`, `[0-9a-f]`)
+	}
+	require.Regexp(s.t, "^(?s:"+text+")$", shown, "%s", a.name)
+	for i, v := range regexp.MustCompile("^(?s:" + text + ")$").FindStringSubmatch(shown)[1:] {
+		if names[i] != "*" {
+			s.words[names[i]] = v
+		}
+	}
+}
+
+// finish stops the program and looks at what no step expected.
+func (s *stage) finish() {
+	if !s.stopped {
+		s.stop()
+	}
+	require.NoError(s.t, s.wait(), "%s", s.log)
+	for _, a := range s.actors {
+		if a.conn != nil {
+			b, _ := io.ReadAll(a.r) // the program has ended: this ends too, cleanly or not
+			require.Empty(s.t, string(b), "%s got more than the steps say", a.name)
+		}
+	}
+	s.ledger.check()
+	require.NotContains(s.t, s.log.String(), "level=ERROR")
+}
+
+// close frees what a failed play leaves open.
+func (s *stage) close() {
+	if s.stop != nil {
+		s.stop()
+		_ = s.wait() // a failure was reported before
+	}
+	s.names.Close()
+	for _, a := range s.actors {
+		if a.listener != nil {
+			a.listener.Close()
+		}
+		if a.conn != nil {
+			a.conn.Close()
+		}
+	}
+}
+
+// list sets the name service's answer.
+func (s *stage) list(serial, lines string) {
+	n, err := strconv.Atoi(serial)
+	require.NoError(s.t, err)
+	class, service := dnsmessage.ClassINET, dnsmessage.MustNewName("_app._tcp.cluster.lan.")
+	m := dnsmessage.Message{Header: dnsmessage.Header{Response: true, Authoritative: true}}
+	m.Authorities = []dnsmessage.Resource{{Header: dnsmessage.ResourceHeader{Name: service, Class: class},
+		Body: &dnsmessage.SOAResource{NS: service, MBox: service, Serial: uint32(n)}}}
+	for line := range strings.Lines(lines) {
+		f := strings.Fields(line)
+		addr := s.actors[f[0]].listener.Addr().(*net.TCPAddr)
+		host := dnsmessage.MustNewName("s-0000000" + f[0][1:] + ".east.hosts.")
+		priority := uint16(0)
+		if f[1] == "draining" {
+			priority = 1
+		}
+		m.Answers = append(m.Answers, dnsmessage.Resource{Header: dnsmessage.ResourceHeader{Name: service, Class: class},
+			Body: &dnsmessage.SRVResource{Priority: priority, Weight: 10, Port: uint16(addr.Port), Target: host}})
+		m.Additionals = append(m.Additionals, dnsmessage.Resource{Header: dnsmessage.ResourceHeader{Name: host, Class: class},
+			Body: &dnsmessage.AResource{A: [4]byte(addr.IP.To4())}},
+			dnsmessage.Resource{Header: dnsmessage.ResourceHeader{Name: host, Class: class},
+				Body: &dnsmessage.TXTResource{TXT: []string{"kind=std", "cell=" + f[0][1:], "started=0"}}})
+	}
+	packet, err := m.Pack()
+	require.NoError(s.t, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer = packet
+}
+
+// serveNames answers the program's questions once there is a list to answer with.
+func (s *stage) serveNames() {
+	buf := make([]byte, 512)
+	for {
+		n, from, err := s.names.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		b := bytes.Clone(s.answer)
+		s.mu.Unlock()
+		if n >= 2 && b != nil {
+			copy(b, buf[:2])
+			_, _ = s.names.WriteTo(b, from) // the program may have ended
+		}
+	}
+}
+
+// log keeps what the program writes and tells when there is more.
+type log struct {
+	mu   sync.Mutex
+	text strings.Builder
+	more *sync.Cond
+}
+
+func newLog() *log {
+	l := &log{}
+	l.more = sync.NewCond(&l.mu)
+	return l
+}
+
+// Write implements io.Writer.
+func (l *log) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.more.Broadcast()
+	return l.text.Write(b)
+}
+
+// String returns all of it.
+func (l *log) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// await waits until the log holds a text.
+func (l *log) await(text string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.more.Broadcast()
+	})()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for !strings.Contains(l.text.String(), text) {
+		if ctx.Err() != nil {
+			return false
+		}
+		l.more.Wait()
+	}
+	return true
+}
+
+// address waits for the line that tells where a front listens.
+func (l *log) address(t *testing.T, front string) string {
+	require.True(t, l.await(`msg="`+front+`"`), "%s", l)
+	return regexp.MustCompile(`msg="` + front + `".* address=(\S+)`).FindStringSubmatch(l.String())[1]
+}
