--- a/internal/m3ua/isup.go
+++ b/internal/m3ua/isup.go
@@ -167,7 +167,7 @@
 
 // calledNumber reads the called party number.
 func (m *isup) calledNumber(v []byte) error {
-	if len(v) < 3 {
+	if len(v) < 2 {
 		return fmt.Errorf("%w: called party number", errISUP)
 	}
 	const digits = "0123456789abcdef"
@@ -175,7 +175,7 @@
 	for _, pair := range v[2:] {
 		out = append(out, digits[pair&15], digits[pair>>4])
 	}
-	if v[0]&0x80 != 0 {
+	if v[0]&0x80 != 0 && len(out) > 0 {
 		out = out[:len(out)-1]
 	}
 	m.number = string(out)
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -24,6 +24,7 @@
 const (
 	causeNoRoute       core.Cause = 3
 	causeInvalidNumber core.Cause = 28
+	causeProtocol      core.Cause = 111
 )
 
 // Server takes calls from peers.
--- a/internal/m3ua/session.go
+++ b/internal/m3ua/session.go
@@ -252,6 +252,12 @@
 		return &codeError{errProtocol, fmt.Sprintf("service indicator %d", t.si)}
 	}
 	u, err := parseISUP(t.user)
+	if err != nil && u.kind == kindIAM && s.accept != nil {
+		// A set-up that can't be read is owed its answer all the same: its circuit is known.
+		s.log.Warn("m3ua", "cic", u.cic, "error", err)
+		s.isup(t.dpc, t.opc)(isup{cic: u.cic, kind: kindREL, cause: causeProtocol})
+		return nil
+	}
 	if err != nil {
 		return &codeError{errProtocol, err.Error()}
 	}
