--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"context"
 	"log/slog"
 
 	"brookmux"
@@ -96,3 +97,12 @@
 	e.post(func() { out <- e.counts })
 	return <-out
 }
+
+// debug logs what came of an attempt.
+func (e *Engine) debug(what string, c *call, l *leg, r brookmux.Report, more ...any) {
+	if !e.Config.Log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	e.Config.Log.Debug(what, append([]any{"call", c.Key, "class", c.Class, "to", l.to, "dest", c.Destination,
+		"transit", c.Transit, "took", e.now - l.at, "age", e.now - c.at, "free", r.Free, "wait", r.Wait}, more...)...)
+}
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -190,6 +190,7 @@
 			e.switches[s.ID] = s
 		}
 		e.ctl.Members(e.now, m)
+		e.Config.Log.Debug("members", "kind", m.Kind, "switches", m.Switches, "now", e.now)
 	})
 }
 
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -18,6 +18,7 @@
 		c.Description = nil
 		e.answer(c)
 		c.Caller.Stands(key, description)
+		e.debug("stands", c, l, r)
 		e.ctl.Stands(e.now, brookmux.Stands{Call: c.id, Attempt: l.number, Took: e.now - l.at})
 	})
 }
@@ -76,6 +77,7 @@
 		c.notUntil = e.now + e.Settings.Module.ReleaseWait
 	}
 	e.counts.outcome(o.Result, l.stands)
+	e.debug("ended", c, l, o.Report, "result", o.Result, "reason", o.Reason)
 	if l.stands {
 		c.Caller.Release(c.Key, o.Cause)
 	}
