--- a/cmd/brookmux/config.go
+++ b/cmd/brookmux/config.go
@@ -22,10 +22,11 @@
 	known                    *fastjson.Value
 	settings                 settings.Settings
 	m3ua                     m3ua.Config
+	manage                   manageConfig
 }
 
 // load reads the configuration file; listen, where given, goes before what the file says.
-func load(path, listen, m3uaFile string) (config, error) {
+func load(path, listen, m3uaFile, storeFile string) (config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return config{}, fmt.Errorf("configuration: %w", err)
@@ -59,5 +60,8 @@
 	if c.m3ua, err = m3ua.Load(m3uaFile); err != nil {
 		return c, err
 	}
+	if c.manage, err = loadManage(storeFile); err != nil {
+		return c, err
+	}
 	return c, nil
 }
--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -31,18 +31,21 @@
 const before = time.Hour
 
 func main() {
-	log := slog.New(slog.NewTextHandler(os.Stdout, nil))
+	level := &slog.LevelVar{}
+	log := slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: level}))
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	if err := run(context.Background(), os.Getenv, stop, log); err != nil {
+	if err := run(context.Background(), os.Getenv, stop, log, level); err != nil {
 		log.Error("brookmux", "error", err)
 		os.Exit(1)
 	}
 }
 
 // run is the program from start to exit.
-func run(ctx context.Context, getenv func(string) string, stop <-chan os.Signal, log *slog.Logger) error {
-	conf, err := load(getenv("GW_CONFIG"), getenv("GW_LISTEN"), cmp.Or(getenv("BROOKMUX_M3UA"), "deploy/m3ua.toml"))
+func run(ctx context.Context, getenv func(string) string, stop <-chan os.Signal, log *slog.Logger,
+	level *slog.LevelVar) error {
+	conf, err := load(getenv("GW_CONFIG"), getenv("GW_LISTEN"), cmp.Or(getenv("BROOKMUX_M3UA"), "deploy/m3ua.toml"),
+		cmp.Or(getenv("BROOKMUX_STORE"), "deploy/store.toml"))
 	if err != nil {
 		return err
 	}
@@ -63,10 +66,11 @@
 	links := &trunks{Pool: corelink.New(ctx, conf.settings.ConnectTimeout, log)}
 	links.m3ua = m3ua.NewClient(conf.m3ua, log, func(list []brookmux.Switch) { merge.Set("m3ua", brookmux.Full, list) })
 	var front *sipfront.Front
+	reports := make(chan core.Counts, 1)
 	engine, err := core.New(core.Config{Settings: conf.settings, Seed: conf.seed, Trunks: links, Log: log,
-		Origin: reader.Origin,
-		Stray:  func(key string, cause core.Cause) { front.Stray(key, cause) },
-		Took:   func() { _ = phase.To(lifecycle.Serving) }, // not ahead when it already drains
+		Origin: reader.Origin, Reports: reports,
+		Stray: func(key string, cause core.Cause) { front.Stray(key, cause) },
+		Took:  func() { _ = phase.To(lifecycle.Serving) }, // not ahead when it already drains
 	})
 	if err != nil {
 		return err
@@ -84,7 +88,7 @@
 	}
 	log.Info("sip listens", "address", listener.Addr().String())
 
-	failed := make(chan error, 4)
+	failed := make(chan error, 5)
 	go func() { failed <- engine.Run(ctx) }()
 	told := func(l directory.List, kind brookmux.ListKind) {
 		links.Update(cores(l, conf.settings.Module.Here))
@@ -95,6 +99,14 @@
 		failed <- reader.Follow(ctx, conf.nameserver, known.Serial, log,
 			func(l directory.List) { told(l, brookmux.Full) })
 	}()
+	manager, err := openManager(conf.manage, manager{name: conf.name, log: log, level: level, engine: engine,
+		front: front, most: conf.settings.MostHeld}, failed)
+	if err != nil {
+		return err
+	}
+	defer manager.close()
+	go manager.follow(ctx)
+	go manager.publish(ctx, phase, reports)
 	if conf.m3ua.Enabled {
 		if err := serveM3UA(ctx, conf, engine, links, peers, log, failed); err != nil {
 			return err
--- a/cmd/brookmux/main_test.go
+++ b/cmd/brookmux/main_test.go
@@ -19,9 +19,10 @@
 // inProcess runs the program in the test's own process, where the race detector sees it.
 func inProcess(_ *testing.T, env map[string]string, out io.Writer) (func(), func() error) {
 	stop, done := make(chan os.Signal, 1), make(chan error, 1)
-	log := slog.New(slog.NewTextHandler(out, nil))
+	level := &slog.LevelVar{}
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level}))
 	go func() {
-		done <- run(context.Background(), func(k string) string { return env[k] }, stop, log)
+		done <- run(context.Background(), func(k string) string { return env[k] }, stop, log, level)
 	}()
 	return sync.OnceFunc(func() { stop <- syscall.SIGTERM }), sync.OnceValue(func() error { return <-done })
 }
--- /dev/null
+++ b/cmd/brookmux/manage.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/openconfig/gnmi/proto/gnmi"
+	"github.com/pelletier/go-toml/v2"
+	"google.golang.org/grpc"
+
+	"brookmux/internal/core"
+	"brookmux/internal/lifecycle"
+	"brookmux/internal/mgmt"
+	"brookmux/internal/sipfront"
+	"brookmux/internal/store"
+)
+
+// Paths of the model that the program itself reads and writes.
+const (
+	configPath     = "/border-control/config/"
+	controllerPath = "/border-control/controllers/controller[name=%s]/"
+)
+
+const (
+	publishWithin = 5 * time.Second
+)
+
+// manageConfig is what deploy/store.toml says.
+type manageConfig struct {
+	Bind    string         `toml:"bind"`   // where the other replicas reach this one; empty: alone, no port
+	Dir     string         `toml:"dir"`    // where the replica's log is kept; empty: in memory
+	GNMI    string         `toml:"gnmi"`   // where gNMI listens; empty: nowhere
+	Members []store.Member `toml:"member"` // all replicas, with bind
+}
+
+// loadManage reads the file; where there is none, the store is one member in memory.
+func loadManage(path string) (manageConfig, error) {
+	var c manageConfig
+	text, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return c, nil
+	}
+	if err != nil {
+		return c, fmt.Errorf("store: configuration: %w", err)
+	}
+	if err := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields().Decode(&c); err != nil {
+		return c, fmt.Errorf("store: configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// manager ties the store to the program: what is configured takes effect, and what there is to tell is kept.
+type manager struct {
+	name   string
+	store  *store.Store
+	log    *slog.Logger
+	level  *slog.LevelVar
+	engine *core.Engine
+	front  *sipfront.Front
+	most   int // calls open at a time, by the settings
+	grpc   *grpc.Server
+}
+
+// openManager opens the store and, where the file says so, gNMI.
+func openManager(c manageConfig, m manager, failed chan<- error) (*manager, error) {
+	var err error
+	if m.store, err = store.Open(store.Config{ID: m.name, Bind: c.Bind, Dir: c.Dir, Members: c.Members, Log: m.log}); err != nil {
+		return nil, err
+	}
+	if c.GNMI == "" {
+		return &m, nil
+	}
+	schema, err := mgmt.NewSchema()
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", c.GNMI)
+	if err != nil {
+		return nil, fmt.Errorf("gnmi: listen: %w", err)
+	}
+	m.log.Info("gnmi listens", "address", l.Addr().String())
+	m.grpc = grpc.NewServer()
+	gnmi.RegisterGNMIServer(m.grpc, mgmt.NewServer(schema, m.store, m.log))
+	go func() {
+		if err := m.grpc.Serve(l); err != nil {
+			failed <- fmt.Errorf("gnmi: %w", err)
+		}
+	}()
+	return &m, nil
+}
+
+// follow lets the configuration take effect, now and at each change, until the context ends.
+func (m *manager) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		changes, cancel := m.store.Watch()
+		set, _ := m.store.List(configPath)
+		for _, leaf := range []string{"admin-state", "log-level", "max-open-calls", "report-interval"} {
+			m.effect(leaf, set[configPath+leaf])
+		}
+		m.watch(ctx, changes)
+		cancel()
+	}
+}
+
+// watch follows changes until the channel closes, as it does where they came faster than they took effect.
+func (m *manager) watch(ctx context.Context, changes <-chan []store.Op) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ops, open := <-changes:
+			if !open {
+				return
+			}
+			for _, op := range ops {
+				if leaf, ok := strings.CutPrefix(op.Path, configPath); ok {
+					m.effect(leaf, op.Value)
+					m.log.Info("configured", "leaf", leaf, "value", op.Value)
+				}
+			}
+		}
+	}
+}
+
+// effect lets one leaf take effect; an empty value is one that is not set. Values were checked against the
+// model before they came into the store.
+func (m *manager) effect(leaf, value string) {
+	n, _ := strconv.Atoi(value) // not a number: 0, as if not set
+	switch leaf {
+	case "admin-state":
+		m.front.SetInService(value != "out-of-service")
+	case "log-level":
+		if value == "" || m.level.UnmarshalText([]byte(value)) != nil {
+			m.level.Set(slog.LevelInfo)
+		}
+	case "max-open-calls":
+		if n == 0 {
+			n = m.most
+		}
+		m.engine.SetMostOpen(n)
+	case "report-interval":
+		m.engine.SetReportEvery(max(time.Duration(n)*time.Second, 0))
+	}
+}
+
+// publish keeps the phase and the counters in the store whenever there are new ones, until the context ends.
+func (m *manager) publish(ctx context.Context, phase *lifecycle.Lifecycle, reports <-chan core.Counts) {
+	base := fmt.Sprintf(controllerPath, m.name)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-reports:
+			ops := []store.Op{{Path: base + "name", Value: m.name}, {Path: base + "phase", Value: phase.State().String()}}
+			for name, v := range map[string]int{"taken": n.Taken, "stood": n.Stood, "refused": n.Refused, "failed": n.Failed,
+				"withdrawn": n.Withdrawn + n.CallerLost, "sent": n.Sent, "cut": n.Cut, "guards": n.Guards} {
+				ops = append(ops, store.Op{Path: base + "counters/" + name, Value: strconv.Itoa(v)})
+			}
+			ctx, cancel := context.WithTimeout(ctx, publishWithin)
+			if _, err := m.store.Apply(ctx, store.Change{Ops: ops}); err != nil {
+				m.log.Warn("state not kept", "error", err)
+			}
+			cancel()
+		}
+	}
+}
+
+// close ends gNMI and the store.
+func (m *manager) close() {
+	if m.grpc != nil {
+		m.grpc.Stop()
+	}
+	if err := m.store.Close(); err != nil {
+		m.log.Warn("store", "error", err)
+	}
+}
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -13,7 +13,7 @@
 		e.refuse(c, Verdict{Failed: true, Cause: NotImplemented, Why: "unknown class"})
 		return
 	}
-	if most := e.Settings.MostHeld; most > 0 && e.open > most {
+	if e.most > 0 && e.open > e.most {
 		e.counts.Full++
 		e.refuse(c, Verdict{Wait: e.Settings.Module.MaxRetryAfter, Cause: Congestion, Why: "too many calls open"})
 		return
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -76,7 +76,11 @@
 // report writes the totals to the log now and then.
 func (e *Engine) report() {
 	e.logCounts()
-	e.in(countsEvery, e.report)
+	select {
+	case e.Reports <- e.counts: // a nil channel never has room
+	default:
+	}
+	e.reporter = e.in(e.every, e.report)
 }
 
 // logCounts writes the totals to the log.
@@ -91,13 +95,6 @@
 			"reset", n.Results[brookmux.ResultReset], "moot", n.Results[brookmux.ResultMoot]))
 }
 
-// Counts returns the totals so far.
-func (e *Engine) Counts() Counts {
-	out := make(chan Counts, 1)
-	e.post(func() { out <- e.counts })
-	return <-out
-}
-
 // debug logs what came of an attempt.
 func (e *Engine) debug(what string, c *call, l *leg, r brookmux.Report, more ...any) {
 	if !e.Config.Log.Enabled(context.Background(), slog.LevelDebug) {
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -31,6 +31,7 @@
 	Origin   time.Time                     // the clock's zero; before any time that is handed in
 	Stray    func(key string, cause Cause) // releases a call that this process did not set up
 	Took     func()                        // called at the first request, may be nil
+	Reports  chan<- Counts                 // gets the totals now and then if it has room, may be nil
 }
 
 // Engine owns the module and the table of calls. Use New, then Run.
@@ -54,11 +55,15 @@
 	drained  chan struct{}
 	drainAt  time.Duration
 	started  bool
+	most     int           // calls open at a time, 0 for any number
+	every    time.Duration // between two reports of the totals
+	reporter *timer
 }
 
 // New returns an Engine, or an error that names the setting it can't serve.
 func New(c Config) (*Engine, error) {
 	e := &Engine{Config: c, queue: make(chan func(), queueLength), wake: time.NewTimer(time.Hour),
+		most: c.Settings.MostHeld, every: countsEvery,
 		classes: map[string]int{}, calls: map[string]*call{}, byID: map[brookmux.CallID]*call{},
 		switches: map[brookmux.SwitchID]brookmux.Switch{}, drained: make(chan struct{})}
 	e.recent = [2]map[string]struct{}{{}, {}}
@@ -85,7 +90,7 @@
 		}
 	}()
 	e.tick()
-	e.in(countsEvery, e.report)
+	e.reporter = e.in(e.every, e.report)
 	e.in(recentSpan, e.forget)
 	for {
 		select {
@@ -204,6 +209,23 @@
 	e.ctl.Probed(e.now, brookmux.ProbeResult{Switch: from, OK: true, Unasked: unasked, Report: r})
 }
 
+// SetMostOpen bounds the calls that may be owed an answer at a time; 0 means any number.
+func (e *Engine) SetMostOpen(n int) { e.post(func() { e.most = n }) }
+
+// SetReportEvery sets the time between two reports of the totals; 0 means the usual one.
+func (e *Engine) SetReportEvery(d time.Duration) {
+	e.post(func() {
+		if d <= 0 {
+			d = countsEvery
+		}
+		if e.every != d {
+			e.every = d
+			e.reporter.stop()
+			e.reporter = e.in(d, e.report)
+		}
+	})
+}
+
 // Drain lets the open calls finish; the channel closes once none is owed an answer and no more can come.
 func (e *Engine) Drain() <-chan struct{} {
 	e.post(func() {
--- a/internal/corelink/message.go
+++ b/internal/corelink/message.go
@@ -13,6 +13,7 @@
 
 	"brookmux"
 	"brookmux/internal/core"
+	"brookmux/internal/jsontext"
 	"brookmux/internal/settings"
 )
 
@@ -89,45 +90,23 @@
 func setUpLine(a core.Attempt) []byte {
 	b := make([]byte, 0, 160+len(a.Description)+len(a.Description)/8)
 	b = append(b, `{"type":"setup","id":`...)
-	b = appendText(b, a.Key)
+	b = jsontext.Append(b, a.Key)
 	b = append(b, `,"fields":{"class":`...)
-	b = appendText(b, a.Class)
+	b = jsontext.Append(b, a.Class)
 	b = append(b, `,"key":`...)
-	b = appendText(b, a.Number)
+	b = jsontext.Append(b, a.Number)
 	b = append(b, `,"left":"`...)
 	b = strconv.AppendInt(b, int64((a.Left+time.Millisecond-1)/time.Millisecond), 10)
 	b = append(b, `"},"sdp":`...)
-	b = appendText(b, a.Description)
+	b = jsontext.Append(b, a.Description)
 	return append(b, "}\n"...)
 }
 
 // causeLine writes a message that holds a cause only.
 func causeLine(kind, id string, cause core.Cause) []byte {
 	b := append([]byte(nil), `{"type":"`+kind+`","id":`...)
-	b = appendText(b, id)
+	b = jsontext.Append(b, id)
 	b = append(b, `,"fields":{},"cause":`...)
 	b = strconv.AppendInt(b, int64(cause), 10)
 	return append(b, "}\n"...)
 }
-
-// appendText writes a JSON string that a reader turns back into the same bytes. fastjson's own writer quotes
-// as Go does (\x00, \a), which JSON readers refuse, so descriptions with control characters would be lost.
-func appendText[T string | []byte](b []byte, s T) []byte {
-	const hex = "0123456789abcdef"
-	b = append(b, '"')
-	for i := range len(s) {
-		switch ch := s[i]; {
-		case ch == '"' || ch == '\\':
-			b = append(b, '\\', ch)
-		case ch == '\n':
-			b = append(b, '\\', 'n')
-		case ch == '\r':
-			b = append(b, '\\', 'r')
-		case ch < 0x20:
-			b = append(b, '\\', 'u', '0', '0', hex[ch>>4], hex[ch&15])
-		default:
-			b = append(b, ch)
-		}
-	}
-	return append(b, '"')
-}
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -63,6 +63,3 @@
 	}
 	return nil
 }
-
-// Accepts tells whether requests and tests are taken in this state.
-func (s State) Accepts() bool { return s == Ready || s == Serving || s == Draining }
--- /dev/null
+++ b/internal/mgmt/mgmt_test.go
@@ -0,0 +1,49 @@
+package mgmt
+
+import (
+	"errors"
+	"slices"
+	"testing"
+
+	"github.com/openconfig/goyang/pkg/yang"
+	"github.com/stretchr/testify/require"
+
+	model "brookmux/yang"
+)
+
+// TestModel: goyang takes the model without a complaint, each node is described, and what Capabilities says
+// of it is what stands in it.
+func TestModel(t *testing.T) {
+	set := yang.NewModules()
+	require.NoError(t, set.Parse(model.Model, "brookmux.yang"))
+	require.NoError(t, errors.Join(set.Process()...))
+	m := set.Modules[model.Module]
+	require.NotNil(t, m)
+	require.Equal(t, model.Organization, m.Organization.Name)
+	require.Equal(t, model.Revision, m.Current())
+	s, err := NewSchema()
+	require.NoError(t, err)
+	for _, x := range below(s.root)[1:] {
+		require.NotEmpty(t, x.Description, x.Path())
+		require.Equal(t, x.Path() != "" && slices.Contains([]string{"/brookmux/border-control"}, x.Path()) ||
+			x.Parent.Name == "config" || x.Name == "config", !x.ReadOnly(), x.Path())
+	}
+	for text, value := range s.defaults() {
+		x, err := s.entry(parsePath(text))
+		require.NoError(t, err)
+		require.NoError(t, check(x, value))
+	}
+}
+
+// TestPaths: paths are stored in a form that is read back as it was.
+func TestPaths(t *testing.T) {
+	for _, p := range []path{
+		{{name: "a"}},
+		{{name: "a"}, {name: "b", keys: map[string]string{"k": "v/[]=\\ "}}, {name: "c"}},
+		{{name: "a", keys: map[string]string{"k": "1", "l": ""}}},
+	} {
+		require.Equal(t, p, parsePath(p.String()), p.String())
+		require.True(t, path{{name: "..."}, {name: p[len(p)-1].name}}.covers(p))
+		require.False(t, path{{name: "other"}}.covers(p))
+	}
+}
--- /dev/null
+++ b/internal/mgmt/server.go
@@ -0,0 +1,364 @@
+package mgmt
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/openconfig/gnmi/proto/gnmi"
+	"github.com/openconfig/goyang/pkg/yang"
+	"github.com/valyala/fastjson"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"brookmux/internal/jsontext"
+	"brookmux/internal/store"
+	model "brookmux/yang"
+)
+
+// version of the gNMI specification that the server follows.
+const version = "0.10.0"
+
+// Server serves gNMI on a store.
+type Server struct {
+	gnmi.UnimplementedGNMIServer
+	schema *Schema
+	store  *store.Store
+	log    *slog.Logger
+}
+
+// NewServer returns a Server.
+func NewServer(schema *Schema, s *store.Store, log *slog.Logger) *Server {
+	return &Server{schema: schema, store: s, log: log}
+}
+
+// Capabilities implements gnmi.GNMIServer, as do the methods below.
+func (s *Server) Capabilities(context.Context, *gnmi.CapabilityRequest) (*gnmi.CapabilityResponse, error) {
+	return &gnmi.CapabilityResponse{
+		SupportedModels:    []*gnmi.ModelData{{Name: model.Module, Organization: model.Organization, Version: model.Revision}},
+		SupportedEncodings: []gnmi.Encoding{gnmi.Encoding_JSON, gnmi.Encoding_JSON_IETF, gnmi.Encoding_PROTO},
+		GNMIVersion:        version,
+	}, nil
+}
+
+// wrong is the gRPC error of a path or value that the model does not have.
+func wrong(err error) error {
+	code := codes.InvalidArgument
+	if errors.Is(err, errNoNode) {
+		code = codes.NotFound
+	}
+	return status.Error(code, err.Error())
+}
+
+// encodes tells whether an encoding is spoken here.
+func encodes(e gnmi.Encoding) error {
+	if e == gnmi.Encoding_JSON || e == gnmi.Encoding_JSON_IETF || e == gnmi.Encoding_PROTO {
+		return nil
+	}
+	return status.Errorf(codes.Unimplemented, "encoding %v", e)
+}
+
+// values are the store's leaves, with the defaults of those of the configuration that are not set.
+func (s *Server) values() map[string]string {
+	out := s.schema.defaults()
+	set, _ := s.store.List("")
+	maps.Copy(out, set)
+	return out
+}
+
+// leaf is a value with its path and node.
+type leaf struct {
+	path  path
+	entry *yang.Entry
+	text  string
+}
+
+// under returns the leaves that a path covers, by path.
+func (s *Server) under(p path, want func(*yang.Entry) bool) []leaf {
+	var out []leaf
+	all := s.values()
+	for _, text := range slices.Sorted(maps.Keys(all)) {
+		at := parsePath(text)
+		if !p.covers(at) {
+			continue
+		}
+		// What an older or newer model left in the store has no node here, and is not shown.
+		if x, err := s.schema.entry(at); err == nil && x.IsLeaf() && want(x) {
+			out = append(out, leaf{at, x, all[text]})
+		}
+	}
+	return out
+}
+
+// Get returns values.
+func (s *Server) Get(_ context.Context, r *gnmi.GetRequest) (*gnmi.GetResponse, error) {
+	if err := encodes(r.GetEncoding()); err != nil {
+		return nil, err
+	}
+	if err := known(r.GetUseModels()); err != nil {
+		return nil, err
+	}
+	want := func(x *yang.Entry) bool {
+		switch r.GetType() {
+		case gnmi.GetRequest_CONFIG:
+			return !x.ReadOnly()
+		case gnmi.GetRequest_STATE, gnmi.GetRequest_OPERATIONAL:
+			return x.ReadOnly()
+		}
+		return true
+	}
+	out := &gnmi.GetResponse{}
+	for _, one := range r.GetPath() {
+		p, err := fromGNMI(r.GetPrefix(), one)
+		if err != nil {
+			return nil, wrong(err)
+		}
+		nodes, err := s.schema.entries(p)
+		if err != nil {
+			return nil, wrong(err)
+		}
+		leaves := s.under(p, want)
+		n := &gnmi.Notification{Timestamp: time.Now().UnixNano()}
+		switch {
+		case len(leaves) == 0:
+			return nil, status.Errorf(codes.NotFound, "nothing at %s", p)
+		case p.wild() || r.GetEncoding() == gnmi.Encoding_PROTO || nodes[0].IsLeaf() || nodes[0].IsList() && !full(p, nodes[0]):
+			for _, l := range leaves {
+				n.Update = append(n.Update, l.update(r.GetEncoding()))
+			}
+		default:
+			text := tree(leaves, len(p), r.GetEncoding() == gnmi.Encoding_JSON_IETF && len(p) == 0)
+			n.Update = append(n.Update, &gnmi.Update{Path: p.gnmi(), Val: jsonValue(r.GetEncoding(), text)})
+		}
+		out.Notification = append(out.Notification, n)
+	}
+	return out, nil
+}
+
+// known refuses models that are not served.
+func known(models []*gnmi.ModelData) error {
+	for _, m := range models {
+		if m.GetName() != model.Module {
+			return status.Errorf(codes.Unimplemented, "model %q", m.GetName())
+		}
+	}
+	return nil
+}
+
+// full tells whether a path names one entry of a list.
+func full(p path, list *yang.Entry) bool {
+	return len(p) > 0 && len(p[len(p)-1].keys) == len(strings.Fields(list.Key))
+}
+
+// jsonValue wraps JSON text in an encoding.
+func jsonValue(e gnmi.Encoding, text []byte) *gnmi.TypedValue {
+	if e == gnmi.Encoding_JSON {
+		return &gnmi.TypedValue{Value: &gnmi.TypedValue_JsonVal{JsonVal: text}}
+	}
+	return &gnmi.TypedValue{Value: &gnmi.TypedValue_JsonIetfVal{JsonIetfVal: text}}
+}
+
+// update is a leaf as a message.
+func (l leaf) update(e gnmi.Encoding) *gnmi.Update {
+	v := typed(l.entry, l.text)
+	if e != gnmi.Encoding_PROTO {
+		v = jsonValue(e, l.json(nil))
+	}
+	return &gnmi.Update{Path: l.path.gnmi(), Val: v}
+}
+
+// json appends a leaf's value.
+func (l leaf) json(b []byte) []byte {
+	if bare(l.entry) {
+		return append(b, l.text...)
+	}
+	return jsontext.Append(b, l.text)
+}
+
+// tree writes leaves, which are sorted by path, as the JSON object of the node so many elements from the root.
+func tree(leaves []leaf, depth int, named bool) []byte {
+	b := []byte{'{'}
+	for i := 0; i < len(leaves); {
+		name := leaves[i].path[depth].name
+		end := i
+		for end < len(leaves) && leaves[end].path[depth].name == name {
+			end++
+		}
+		if i > 0 {
+			b = append(b, ',')
+		}
+		if named {
+			b = jsontext.Append(b, model.Module+":"+name)
+		} else {
+			b = jsontext.Append(b, name)
+		}
+		b = append(b, ':')
+		switch first := leaves[i]; {
+		case len(first.path) == depth+1:
+			b = first.json(b)
+		case first.path[depth].keys != nil:
+			b = list(b, leaves[i:end], depth)
+		default:
+			b = append(b, tree(leaves[i:end], depth+1, false)...)
+		}
+		i = end
+	}
+	return append(b, '}')
+}
+
+// list writes the entries of a list.
+func list(b []byte, leaves []leaf, depth int) []byte {
+	b = append(b, '[')
+	for i := 0; i < len(leaves); {
+		at, end := leaves[i].path[:depth+1].String(), i
+		for end < len(leaves) && leaves[end].path[:depth+1].String() == at {
+			end++
+		}
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, tree(leaves[i:end], depth+1, false)...)
+		i = end
+	}
+	return append(b, ']')
+}
+
+// Set changes the configuration: all of it, or nothing where one part is wrong.
+func (s *Server) Set(ctx context.Context, r *gnmi.SetRequest) (*gnmi.SetResponse, error) {
+	if len(r.GetUnionReplace()) > 0 {
+		return nil, status.Error(codes.Unimplemented, "union_replace")
+	}
+	out := &gnmi.SetResponse{Prefix: r.GetPrefix(), Timestamp: time.Now().UnixNano()}
+	var c store.Change
+	add := func(op gnmi.UpdateResult_Operation, one *gnmi.Path, v *gnmi.TypedValue) error {
+		ops, err := s.ops(r.GetPrefix(), one, v, op)
+		c.Ops = append(c.Ops, ops...)
+		out.Response = append(out.Response, &gnmi.UpdateResult{Path: one, Op: op})
+		return err
+	}
+	for _, p := range r.GetDelete() {
+		if err := add(gnmi.UpdateResult_DELETE, p, nil); err != nil {
+			return nil, wrong(err)
+		}
+	}
+	for _, u := range r.GetReplace() {
+		if err := add(gnmi.UpdateResult_REPLACE, u.GetPath(), u.GetVal()); err != nil {
+			return nil, wrong(err)
+		}
+	}
+	for _, u := range r.GetUpdate() {
+		if err := add(gnmi.UpdateResult_UPDATE, u.GetPath(), u.GetVal()); err != nil {
+			return nil, wrong(err)
+		}
+	}
+	if len(c.Ops) == 0 {
+		return out, nil
+	}
+	switch _, err := s.store.Apply(ctx, c); {
+	case errors.Is(err, store.ErrNoLeader):
+		return nil, status.Error(codes.Unavailable, err.Error())
+	case errors.Is(err, store.ErrStale):
+		return nil, status.Error(codes.Aborted, err.Error())
+	case err != nil:
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	s.log.Info("configuration set", "changes", len(c.Ops))
+	return out, nil
+}
+
+// ops turns one part of a Set into changes of the store.
+func (s *Server) ops(prefix, one *gnmi.Path, v *gnmi.TypedValue, op gnmi.UpdateResult_Operation) ([]store.Op, error) {
+	p, err := fromGNMI(prefix, one)
+	if err != nil {
+		return nil, err
+	}
+	x, err := s.schema.entry(p)
+	if err != nil {
+		return nil, err
+	}
+	if x.ReadOnly() {
+		return nil, errors.New(p.String() + " is state and can't be set")
+	}
+	var out []store.Op
+	if op != gnmi.UpdateResult_UPDATE {
+		set, _ := s.store.List("")
+		for _, text := range slices.Sorted(maps.Keys(set)) {
+			at := parsePath(text)
+			if y, err := s.schema.entry(at); p.covers(at) && err == nil && !y.ReadOnly() {
+				out = append(out, store.Op{Path: text, Delete: true})
+			}
+		}
+		if op == gnmi.UpdateResult_DELETE {
+			return out, nil
+		}
+	}
+	var text string
+	switch t := v.GetValue().(type) {
+	case *gnmi.TypedValue_JsonVal:
+		return s.fromJSON(out, p, x, t.JsonVal)
+	case *gnmi.TypedValue_JsonIetfVal:
+		return s.fromJSON(out, p, x, t.JsonIetfVal)
+	case *gnmi.TypedValue_StringVal:
+		text = t.StringVal
+	case *gnmi.TypedValue_UintVal:
+		text = yang.FromUint(t.UintVal).String()
+	case *gnmi.TypedValue_IntVal:
+		text = yang.FromInt(t.IntVal).String()
+	case *gnmi.TypedValue_BoolVal:
+		text = map[bool]string{true: "true", false: "false"}[t.BoolVal]
+	default:
+		return nil, errors.New(p.String() + ": no value, or one of a type that is not taken")
+	}
+	if !x.IsLeaf() {
+		return nil, errors.New(p.String() + " is no leaf: its value has to be JSON")
+	}
+	return append(out, store.Op{Path: p.String(), Value: text}), check(x, text)
+}
+
+// fromJSON reads a node's value.
+func (s *Server) fromJSON(out []store.Op, p path, x *yang.Entry, text []byte) ([]store.Op, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, err
+	}
+	return s.fromValue(out, p, x, v)
+}
+
+// fromValue reads a node's value: a leaf's, or an object with those of the nodes under it.
+func (s *Server) fromValue(out []store.Op, p path, x *yang.Entry, v *fastjson.Value) ([]store.Op, error) {
+	if x.ReadOnly() {
+		return nil, errors.New(p.String() + " is state and can't be set")
+	}
+	if x.IsLeaf() {
+		text := string(v.GetStringBytes())
+		switch v.Type() {
+		case fastjson.TypeString:
+		case fastjson.TypeNumber, fastjson.TypeTrue, fastjson.TypeFalse:
+			if text = v.String(); !bare(x) {
+				return nil, errors.New(p.String() + ": a string is needed")
+			}
+		default:
+			return nil, errors.New(p.String() + ": one value is needed")
+		}
+		return append(out, store.Op{Path: p.String(), Value: text}), check(x, text)
+	}
+	object, err := v.Object()
+	if err != nil || x.IsList() {
+		return nil, errors.New(p.String() + ": an object is needed")
+	}
+	object.Visit(func(key []byte, member *fastjson.Value) {
+		name := strings.TrimPrefix(string(key), model.Module+":")
+		child := x.Dir[name]
+		if err == nil && child == nil {
+			err = errors.New(p.String() + " has no node " + name)
+		}
+		if err == nil {
+			out, err = s.fromValue(out, append(slices.Clone(p), elem{name: name}), child, member)
+		}
+	})
+	return out, err
+}
--- a/internal/sipfront/conn.go
+++ b/internal/sipfront/conn.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"brookmux/internal/core"
-	"brookmux/internal/lifecycle"
 	"brookmux/internal/stream"
 )
 
@@ -105,7 +104,7 @@
 			}
 		})
 	case m.method == "OPTIONS":
-		if s := c.front.phase.State(); s == lifecycle.Ready || s == lifecycle.Serving {
+		if c.front.tested() {
 			c.reply(m, 200, "OK")
 		} else {
 			c.reply(m, 503, "Not Serving")
--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,7 +35,8 @@
 	engine Engine
 	phase  *lifecycle.Lifecycle
 	log    *slog.Logger
-	most   int // connections
+	most   int         // connections
+	out    atomic.Bool // out of service: tests fail
 
 	mu     sync.Mutex
 	conns  map[*conn]struct{}
@@ -140,9 +142,11 @@
 	}
 }
 
-// Open is how many connections there are.
-func (f *Front) Open() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.conns)
+// SetInService tells whether tests pass. Calls are taken all the same.
+func (f *Front) SetInService(in bool) { f.out.Store(!in) }
+
+// tested tells whether a test passes now.
+func (f *Front) tested() bool {
+	s := f.phase.State()
+	return (s == lifecycle.Ready || s == lifecycle.Serving) && !f.out.Load()
 }
