--- a/internal/playback/playback.go
+++ b/internal/playback/playback.go
@@ -6,6 +6,7 @@
 //	p1, p2 ... M3UA peers by ASP identifier, hex; what follows a ; is a comment
 //	x5 ...     exchanges that the program reaches by M3UA, by number, hex
 //	names      the name service: "list SERIAL", then lines "c1 ready" or "c2 draining"
+//	g          an operator, gNMI: "sends" CALL and a message as text, "gets" one, or "code NAME"
 //	program    "stops" (it is told to), "exits" (without an error)
 //
 // Verbs are sends, gets, gets after 300ms (since the last step, at least), closes, resets, refuses (closes and
@@ -72,6 +73,8 @@
 	stop    func()
 	wait    func() error
 	stopped bool
+
+	operator *operator
 }
 
 // actor is one end of what the program speaks with.
@@ -139,9 +142,11 @@
 "names":["idle","circuits","avg_ms"]},"permissions":{"maxAttempts":6,"retryAfter":true,"maxRetryAfterMs":2000,
 "connectTimeoutMs":500},"rules":{"warmWithinMs":14000,"coldFrom":0.3,"fallMultiple":4},"specifics":{"here":0,
 "releaseGuardMs":300}}}`, s.names.LocalAddr(), strings.TrimPrefix(listed, ","))
-	env := map[string]string{"GW_CONFIG": filepath.Join(dir, "config.json"), "BROOKMUX_M3UA": filepath.Join(dir, "m3ua.toml")}
+	env := map[string]string{"GW_CONFIG": filepath.Join(dir, "config.json"), "BROOKMUX_M3UA": filepath.Join(dir, "m3ua.toml"),
+		"BROOKMUX_STORE": filepath.Join(dir, "store.toml")}
 	require.NoError(s.t, os.WriteFile(env["GW_CONFIG"], []byte(config), 0o600))
 	require.NoError(s.t, os.WriteFile(env["BROOKMUX_M3UA"], []byte(toml), 0o600))
+	require.NoError(s.t, os.WriteFile(env["BROOKMUX_STORE"], []byte("gnmi = \"127.0.0.1:0\"\n"), 0o600))
 	s.stop, s.wait = start(s.t, env, s.log)
 }
 
@@ -174,6 +179,8 @@
 		require.NoError(s.t, s.wait(), "%s", s.log)
 	case name == "log":
 		require.True(s.t, s.log.await(payload), "the log never had %q:\n%s", payload, s.log)
+	case name == "g":
+		s.operate(verb, payload)
 	case name == "names":
 		s.list(words[2], payload)
 	default:
