Guard cold cores in the core; M3UA numbers and descriptions that no message can hold

The guard on cold cores is new: controllers told of a start keep to their part of the multiple in any 2 s.

--- /dev/null
+++ b/internal/core/cold_test.go
@@ -0,0 +1,35 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"brookmux"
+	"brookmux/internal/settings"
+)
+
+// TestColdGuard: once its core has started again, an exchange gets no more in any 2 s than this controller's
+// part of what a cold core bears, and all of it again when the core is warm.
+func TestColdGuard(t *testing.T) {
+	e := &Engine{loads: map[int]*load{}, switches: map[brookmux.SwitchID]brookmux.Switch{1: {ID: 1, Number: 3}}}
+	e.Settings = settings.Settings{Module: brookmux.Settings{ColdFrom: 0.3, WarmWithin: 14 * time.Second, FallMultiple: 4}}
+	const every = 50 * time.Millisecond // 20 set-ups a second
+	e.now = time.Hour
+	for range 300 {
+		e.now += every
+		require.False(t, e.tooCold(1), "a warm core")
+	}
+	e.switches[2] = brookmux.Switch{ID: 2, Number: 3, Since: e.now}
+	e.now += 3 * time.Second // what went to the old core is no longer in the window
+	passed := 0
+	for range 300 {
+		if !e.tooCold(2) {
+			passed++
+		}
+	}
+	require.InDelta(t, 4*0.5*(0.3+0.7*3/14)*20*2, passed, 2, "a burst right after the start")
+	e.now += 14 * time.Second
+	require.False(t, e.tooCold(2), "a core that is warm again")
+}
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -49,7 +49,8 @@
 	lastID   brookmux.CallID
 	switches map[brookmux.SwitchID]brookmux.Switch
 	recent   [2]map[string]struct{}
-	open     int // calls that are owed an answer
+	loads    map[int]*load // by exchange
+	open     int           // calls that are owed an answer
 	after    []func()
 	counts   Counts
 	drained  chan struct{}
@@ -65,7 +66,7 @@
 	e := &Engine{Config: c, queue: make(chan func(), queueLength), wake: time.NewTimer(time.Hour),
 		most: c.Settings.MostHeld, every: countsEvery,
 		classes: map[string]int{}, calls: map[string]*call{}, byID: map[brookmux.CallID]*call{},
-		switches: map[brookmux.SwitchID]brookmux.Switch{}, drained: make(chan struct{})}
+		switches: map[brookmux.SwitchID]brookmux.Switch{}, drained: make(chan struct{}), loads: map[int]*load{}}
 	e.recent = [2]map[string]struct{}{{}, {}}
 	for i, name := range c.Settings.ClassNames {
 		e.classes[name] = i
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -24,7 +24,8 @@
 		e.guard(why, c)
 		e.after = append(e.after, func() {
 			e.ctl.Ended(e.now, brookmux.Outcome{Call: id, Attempt: number, Switch: to,
-				Result: brookmux.ResultMoot, Report: noReport})
+				Result: brookmux.ResultMoot, Report: noReport,
+				Reason: brookmux.ReasonProcessorFull}) // any other would say that the group is full
 		})
 		return
 	}
@@ -46,6 +47,8 @@
 		return "call in transit to another than its destination"
 	case !e.Settings.Module.Pools && e.switches[to].Number == e.Settings.Module.Here:
 		return "send to the own exchange"
+	case e.tooCold(to): // last: it counts what it lets pass
+		return "set-ups to a cold core"
 	}
 	return ""
 }
--- a/internal/m3ua/client.go
+++ b/internal/m3ua/client.go
@@ -166,17 +166,20 @@
 	x.mu.Lock()
 	active := l.active
 	x.mu.Unlock()
-	moot := core.Outcome{Result: brookmux.ResultMoot, Reason: brookmux.ReasonNoCircuit}
-	if !ok || !active {
-		moot = core.Outcome{Result: brookmux.ResultConnectFailed, Report: settings.NoReport()}
+	o := core.Outcome{Result: brookmux.ResultMoot, Reason: brookmux.ReasonNoCircuit}
+	if !carries(a.Number) || !fits(a.Description) {
+		// It would be cut short or misread on the way: a set-up in a form that no caller sent.
+		o = core.Outcome{Result: brookmux.ResultError}
+	} else if !ok || !active {
+		o = core.Outcome{Result: brookmux.ResultConnectFailed}
 	} else if c := l.group.seizeAny(l.Circuits, a.Key); c != nil {
 		l.group.say(isup{cic: c.cic, kind: kindIAM, category: category, number: a.Number, left: a.Left,
 			description: a.Description})
 		return
-	} else {
-		moot.Report = l.figures()
 	}
-	go x.events.Lost(to, []string{a.Key}, false, moot)
+	// The module has counted circuits as taken: the state of the group tells it that they are not.
+	o.Report = l.figures()
+	go x.events.Lost(to, []string{a.Key}, false, o)
 }
 
 // Release implements core.Trunks.
--- a/internal/m3ua/isup.go
+++ b/internal/m3ua/isup.go
@@ -31,6 +31,8 @@
 	natureUnknown  = 0x02 // nature of address: unknown
 	planISDN       = 0x10 // numbering plan ISDN, routing to internal number allowed
 	mediumSpeech   = 0x00
+	mostDigits     = 2 * 250
+	beside         = 512  // bytes of an IAM that are not description, at most
 	causeLocation  = 0x80 // coding ITU-T, location user
 	causeExtension = 0x80
 )
@@ -57,7 +59,7 @@
 	case kindIAM:
 		b = append(b, 0, 0, 0, m.category, mediumSpeech)
 		odd := byte(len(m.number)&1) << 7
-		b = append(b, 2, byte(len(m.number)+1)/2+4, byte(len(m.number)+1)/2+2, odd|natureUnknown, planISDN)
+		b = append(b, 2, byte((len(m.number)+1)/2+4), byte((len(m.number)+1)/2+2), odd|natureUnknown, planISDN)
 		b = appendSignals(b, m.number)
 		if m.left > 0 {
 			b = append(b, optDelay, 4)
@@ -95,6 +97,21 @@
 	return b
 }
 
+// carries tells whether a number can stand in an IAM: hex digits, and no more than its length octet counts.
+func carries(number string) bool {
+	for i := range len(number) {
+		if _, err := strconv.ParseUint(number[i:i+1], 16, 4); err != nil {
+			return false
+		}
+	}
+	return len(number) <= mostDigits
+}
+
+// fits tells whether a description can stand in one M3UA message, beside what else that holds.
+func fits(description []byte) bool {
+	return len(description)+3*(len(description)/uuiMost+1)+beside <= maxMessage
+}
+
 // signal is a hex digit's value.
 func signal(digit byte) byte {
 	v, _ := strconv.ParseUint(string(digit), 16, 4) // not a digit: 0
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -212,7 +212,7 @@
 func (p *peer) offer(g *group, dpc uint32, m isup) {
 	s := p.server
 	key := newKey()
-	w := &caller{group: g}
+	w := &caller{engine: s.engine, group: g}
 	w.circuit = g.seize(m.cic, key, w)
 	if w.circuit == nil {
 		s.log.Warn("m3ua: IAM for a circuit in use", "asp", p.ASP, "cic", m.cic)
@@ -252,12 +252,19 @@
 
 // caller is the core's Caller for one call.
 type caller struct {
+	engine  Engine
 	group   *group
 	circuit *circuit
 }
 
-// Stands implements core.Caller.
-func (c *caller) Stands(_ string, description []byte) {
+// Stands implements core.Caller. An answer that no message can hold fails: the peer is told so, and the call
+// is released, from another goroutine since the owner of the core calls this.
+func (c *caller) Stands(key string, description []byte) {
+	if !fits(description) {
+		c.group.release(c.circuit, core.TemporaryFailure, 0)
+		go c.engine.Hangup(key, core.TemporaryFailure, func(bool) {})
+		return
+	}
 	if c.group.answer(c.circuit) {
 		c.group.say(isup{cic: c.circuit.cic, kind: kindANM, description: description})
 	}
