Cold guard: take the most an exchange has carried as its usual rate

At fault: cold.go took half the multiple of the last 10 s before the drain, when gates were low. Now the most that the exchange carried in 10 s counts, and 0.8 of the multiple.

--- a/internal/core/cold.go
+++ b/internal/core/cold.go
@@ -10,10 +10,10 @@
 // over before a rate shows it.
 const (
 	coldSlot   = 250 * time.Millisecond
-	coldWindow = 8       // slots in the window of the rule, 2 s
-	usualSlots = 40      // slots that the usual rate is taken over, 10 s
-	coldLeast  = 8       // set-ups that a window may always hold
-	coldBudget = 1.0 / 2 // of the multiple: the other controllers' calls come on top, unevenly
+	coldWindow = 8   // slots in the window of the rule, 2 s
+	usualSlots = 40  // slots that the usual rate is taken over, 10 s
+	coldLeast  = 8   // set-ups that a window may always hold
+	coldBudget = 0.8 // of the multiple: repeats and refusals are work too
 	slotSpan   = usualSlots + 1
 )
 
@@ -23,7 +23,7 @@
 	slots [slotSpan]int
 	last  int64   // the slot counted last
 	first int64   // the first slot counted
-	usual float64 // set-ups a slot while its core was warm
+	usual float64 // set-ups a slot that it carried while its core was warm
 }
 
 // roll moves on to a slot.
@@ -72,7 +72,9 @@
 			return true
 		}
 	} else if seen := min(usualSlots, l.last-l.first+1); seen >= coldWindow {
-		l.usual = float64(l.recent(seen)) / float64(seen)
+		// The most that the exchange has carried for that long: a rate taken while gates were low would hold
+		// back what the module may well send.
+		l.usual = max(l.usual, float64(l.recent(seen))/float64(seen))
 	}
 	l.slots[l.last%slotSpan]++
 	return false
