Tests wait on events only: no order between connections, no process-wide limits

Ruled out: a fault of the program; the two messages have no order between connections. New exchange: descriptors.

--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -35,23 +35,28 @@
 	log := slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: level}))
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	if err := run(context.Background(), os.Getenv, stop, log, level); err != nil {
+	if err := run(context.Background(), os.Getenv, stop, log, level, tune); err != nil {
 		log.Error("brookmux", "error", err)
 		os.Exit(1)
 	}
 }
 
-// run is the program from start to exit.
+// tune keeps the process within its limits.
+func tune(c config) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.cores))))
+	debug.SetMemoryLimit(c.memory * 3 / 4)
+}
+
+// run is the program from start to exit. What holds for the whole process is left to its caller.
 func run(ctx context.Context, getenv func(string) string, stop <-chan os.Signal, log *slog.Logger,
-	level *slog.LevelVar) error {
+	level *slog.LevelVar, tune func(config)) error {
 	conf, err := load(getenv("GW_CONFIG"), getenv("GW_LISTEN"), cmp.Or(getenv("BROOKMUX_M3UA"), "deploy/m3ua.toml"),
 		cmp.Or(getenv("BROOKMUX_STORE"), "deploy/store.toml"))
 	if err != nil {
 		return err
 	}
 	log = log.With("name", conf.name)
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(conf.cores))))
-	debug.SetMemoryLimit(conf.memory * 3 / 4)
+	tune(conf)
 
 	phase := &lifecycle.Lifecycle{}
 	phase.Watch(func(from, to lifecycle.State) { log.Info("phase", "from", from.String(), "to", to.String()) })
--- a/cmd/brookmux/main_test.go
+++ b/cmd/brookmux/main_test.go
@@ -22,7 +22,7 @@
 	level := &slog.LevelVar{}
 	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level}))
 	go func() {
-		done <- run(context.Background(), func(k string) string { return env[k] }, stop, log, level)
+		done <- run(context.Background(), func(k string) string { return env[k] }, stop, log, level, func(config) {})
 	}()
 	return sync.OnceFunc(func() { stop <- syscall.SIGTERM }), sync.OnceValue(func() error { return <-done })
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -226,8 +226,8 @@
 		}
 		if l.Serial > serial {
 			serial = l.Serial
-			log.Info("list", "serial", serial, "cores", len(l.Entries))
 			told(l)
+			log.Info("list", "serial", serial, "cores", len(l.Entries))
 		}
 	}
 }
--- a/internal/playback/playback.go
+++ b/internal/playback/playback.go
@@ -11,7 +11,8 @@
 //
 // Verbs are sends, gets, gets after 300ms (since the last step, at least), closes, resets, refuses (closes and
 // accepts nothing more) and is closed. In what is got, <*> stands for any word, and <name> for one that is the
-// same wherever it stands; .. is any byte. The first lines name who is there: "cores 1 2", "m3ua 5".
+// same wherever it stands; .. is any byte. The first lines name who is there, "cores 1 2", "m3ua 5", and may say how many
+// descriptors the program has, "sockets 12".
 //
 // When the steps are over the program is stopped. Nothing that no step expected may have arrived by then,
 // and the ledger of all that was seen must keep the rules.
@@ -110,15 +111,18 @@
 
 // open sets the actors up and starts the program.
 func (s *stage) open(head string, start Program) {
-	listed, toml := "", "enabled = true\nlisten = \"127.0.0.1:0\"\npoint_code = 100\nrouting_context = 1\n"+
-		"[timers]\ngone_ms = 1000\n"+
-		"[[class]]\ncategory = 10\nname = \"page\"\n[[class]]\ncategory = 11\nname = \"update\"\n"+
-		"[[exchange]]\nnumber = 1\npoint_code = 101\n[[exchange]]\nnumber = 5\npoint_code = 105\n"+
+	sockets, listed := "1024", ""
+	toml := "enabled = true\nlisten = \"127.0.0.1:0\"\npoint_code = 100\nrouting_context = 1\n" +
+		"[timers]\ngone_ms = 1000\n" +
+		"[[class]]\ncategory = 10\nname = \"page\"\n[[class]]\ncategory = 11\nname = \"update\"\n" +
+		"[[exchange]]\nnumber = 1\npoint_code = 101\n[[exchange]]\nnumber = 5\npoint_code = 105\n" +
 		"[[peer]]\nasp = 1\npoint_code = 201\n[[peer]]\nasp = 2\npoint_code = 105\n"
 	for line := range strings.SplitSeq(head, "\n") {
 		kind, numbers, _ := strings.Cut(line, " ")
 		for n := range strings.FieldsSeq(numbers) {
 			switch kind {
+			case "sockets":
+				sockets = n
 			case "cores":
 				a := s.listen("c" + n)
 				listed += fmt.Sprintf(`,{"id":"s-0000000%s","host_port":%q,"locality":"east","flavor":"std","cell":%s,`+
@@ -136,12 +140,12 @@
 	go s.serveNames()
 	dir := s.t.TempDir()
 	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,
-"sockets":1024},"nameserver":%q,"known":{"rev":1,"notices":[{"rev":1,"pool":{"revision":1,"complete":true,"members":[%s]}}]},
+"sockets":%s},"nameserver":%q,"known":{"rev":1,"notices":[{"rev":1,"pool":{"revision":1,"complete":true,"members":[%s]}}]},
 "settings":{"instances":2,"classes":[{"name":"page","aimMs":1500,"deadlineMs":9000,"gain":1},
 {"name":"update","aimMs":1000,"deadlineMs":6000,"gain":8}],"zones":["east"],"loadReport":{"how":"piggyback",
 "names":["idle","circuits","avg_ms"]},"permissions":{"maxAttempts":6,"retryAfter":true,"maxRetryAfterMs":2000,
 "connectTimeoutMs":500},"rules":{"warmWithinMs":14000,"coldFrom":0.3,"fallMultiple":4},"specifics":{"here":0,
-"releaseGuardMs":300}}}`, s.names.LocalAddr(), strings.TrimPrefix(listed, ","))
+"releaseGuardMs":300}}}`, sockets, s.names.LocalAddr(), strings.TrimPrefix(listed, ","))
 	env := map[string]string{"GW_CONFIG": filepath.Join(dir, "config.json"), "BROOKMUX_M3UA": filepath.Join(dir, "m3ua.toml"),
 		"BROOKMUX_STORE": filepath.Join(dir, "store.toml")}
 	require.NoError(s.t, os.WriteFile(env["GW_CONFIG"], []byte(config), 0o600))
