--- a/internal/m3ua/client.go
+++ b/internal/m3ua/client.go
@@ -91,7 +91,7 @@
 // that nothing new is sent to it. Set-ups that were open are lost; calls that stand are kept for a while.
 func (l *link) changed(s *session, to State) {
 	x := l.client
-	x.log.Info("m3ua association", "exchange", l.Number, "state", to.String())
+	defer x.log.Info("m3ua association", "exchange", l.Number, "state", to.String())
 	x.mu.Lock()
 	was := l.active
 	l.active = to == Active
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -108,8 +108,8 @@
 		return nil
 	}
 	x.changed = func(to State) {
-		s.log.Info("m3ua association", "asp", p.ASP, "state", to.String())
 		p.changed(x, to == Active)
+		s.log.Info("m3ua association", "asp", p.ASP, "state", to.String())
 	}
 	x.data = func(t transfer, m isup) error { return p.data(t, m) }
 	err := x.run(ctx, ms(s.Timers.Beat), ms(s.Timers.Ack))
