gNMI by TLS off loopback; nobody waits for a core that has ended

Checked: a short run of the call, drain and gNMI exchanges. The TLS path has no test yet: its draft hung on an in-memory pipe and was left out.

--- a/cmd/brookmux/manage.go
+++ b/cmd/brookmux/manage.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"log/slog"
 	"net"
@@ -13,6 +15,8 @@
 	"github.com/openconfig/gnmi/proto/gnmi"
 	"github.com/pelletier/go-toml/v2"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"brookmux/internal/core"
 	"brookmux/internal/lifecycle"
@@ -36,9 +40,45 @@
 	Bind    string         `toml:"bind"`   // where the other replicas reach this one; empty: alone, no port
 	Dir     string         `toml:"dir"`    // where the replica's log is kept; empty: in memory
 	GNMI    string         `toml:"gnmi"`   // where gNMI listens; empty: nowhere
+	TLS     tlsFiles       `toml:"tls"`    // for gNMI; without it, gNMI listens on loopback only
 	Members []store.Member `toml:"member"` // all replicas, with bind
 }
 
+// tlsFiles name a certificate with its key, and the authority whose clients are let in.
+type tlsFiles struct {
+	Cert     string `toml:"cert"`
+	Key      string `toml:"key"`
+	ClientCA string `toml:"client_ca"`
+}
+
+// credentials returns what gNMI is served with: both ends show certificates, or the address is loopback.
+func (c manageConfig) credentials() (credentials.TransportCredentials, error) {
+	if c.TLS == (tlsFiles{}) {
+		host, _, err := net.SplitHostPort(c.GNMI)
+		if err != nil {
+			return nil, fmt.Errorf("gnmi: %w", err)
+		}
+		if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+			return nil, fmt.Errorf("gnmi: %s is not loopback: tls is needed", c.GNMI)
+		}
+		return insecure.NewCredentials(), nil
+	}
+	cert, err := tls.LoadX509KeyPair(c.TLS.Cert, c.TLS.Key)
+	if err != nil {
+		return nil, fmt.Errorf("gnmi: certificate: %w", err)
+	}
+	ca, err := os.ReadFile(c.TLS.ClientCA)
+	if err != nil {
+		return nil, fmt.Errorf("gnmi: client authority: %w", err)
+	}
+	clients := x509.NewCertPool()
+	if !clients.AppendCertsFromPEM(ca) {
+		return nil, fmt.Errorf("gnmi: client authority %s holds no certificate", c.TLS.ClientCA)
+	}
+	return credentials.NewTLS(&tls.Config{Certificates: []tls.Certificate{cert}, ClientCAs: clients,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13}), nil
+}
+
 // loadManage reads the file; where there is none, the store is one member in memory.
 func loadManage(path string) (manageConfig, error) {
 	var c manageConfig
@@ -80,12 +120,16 @@
 	if err != nil {
 		return nil, err
 	}
+	creds, err := c.credentials()
+	if err != nil {
+		return nil, err
+	}
 	l, err := net.Listen("tcp", c.GNMI)
 	if err != nil {
 		return nil, fmt.Errorf("gnmi: listen: %w", err)
 	}
 	m.log.Info("gnmi listens", "address", l.Addr().String())
-	m.grpc = grpc.NewServer()
+	m.grpc = grpc.NewServer(grpc.Creds(creds))
 	gnmi.RegisterGNMIServer(m.grpc, mgmt.NewServer(schema, m.store, m.log))
 	go func() {
 		if err := m.grpc.Serve(l); err != nil {
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -18,7 +18,7 @@
 	guardLate     = 10 * time.Millisecond  // the guard on the deadline waits for the module this long
 	releaseMargin = 20 * time.Millisecond  // on the wait after a timeout, reset or cancel: peers may read late
 	recentSpan    = 30 * time.Second       // ended calls are remembered for one to two of these
-	drainLeast    = 700 * time.Millisecond // requests go on coming for so long after SIGTERM
+	drainLeast    = 800 * time.Millisecond // requests go on coming for up to 600 ms after SIGTERM, and are read late
 	countsEvery   = 10 * time.Second
 )
 
@@ -39,6 +39,7 @@
 	Config
 	ctl     *brookmux.Controller
 	queue   chan func()
+	done    chan struct{} // closed when Run returns
 	timers  timers
 	wake    *time.Timer
 	now     time.Duration // of the event being handled
@@ -63,7 +64,7 @@
 
 // New returns an Engine, or an error that names the setting it can't serve.
 func New(c Config) (*Engine, error) {
-	e := &Engine{Config: c, queue: make(chan func(), queueLength), wake: time.NewTimer(time.Hour),
+	e := &Engine{Config: c, queue: make(chan func(), queueLength), done: make(chan struct{}), wake: time.NewTimer(time.Hour),
 		most: c.Settings.MostHeld, every: countsEvery,
 		classes: map[string]int{}, calls: map[string]*call{}, byID: map[brookmux.CallID]*call{},
 		switches: map[brookmux.SwitchID]brookmux.Switch{}, drained: make(chan struct{}), loads: map[int]*load{}}
@@ -80,11 +81,18 @@
 	return e, nil
 }
 
-// post hands an event to the owner; readers wait here while the queue is full.
-func (e *Engine) post(f func()) { e.queue <- f }
+// post hands an event to the owner; readers wait here while the queue is full. After the owner has ended
+// nothing is taken any more, and nobody waits.
+func (e *Engine) post(f func()) {
+	select {
+	case e.queue <- f:
+	case <-e.done:
+	}
+}
 
 // Run handles events until the context ends. A panic is returned as an error with its stack.
 func (e *Engine) Run(ctx context.Context) (err error) {
+	defer close(e.done)
 	defer func() {
 		if p := recover(); p != nil {
 			err = fmt.Errorf("core: panic: %v\n%s", p, debug.Stack())
