SIGHUP takes a new configuration; the name service is followed to its new address

Ruled out: SIGTERM handling, which the log shows ending in phase stopped with exit 0.

At fault: cmd/brookmux/main.go notified of SIGTERM only; directory.Follow was bound to one address for good and took an answer with any id, to any question.

Now reload checks the whole file first, then moves directory.Service. Open questions are kept by id for 3 s; an answer to none of them, or to another question, leaves the list in place. Questions are asked every 200 ms.

Test: call_across_reload.txt fails without it (the process dies or never hears list 3).

--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -33,14 +33,19 @@
 func main() {
 	level := &slog.LevelVar{}
 	log := slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: level}))
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	if err := run(context.Background(), os.Getenv, stop, log, level, tune); err != nil {
+	// A channel each: a signal that finds its channel full is dropped, and a reload must never hide the end.
+	s := signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	if err := run(context.Background(), os.Getenv, s, log, level, tune); err != nil {
 		log.Error("brookmux", "error", err)
 		os.Exit(1)
 	}
 }
 
+// signals are what the program is told from outside: to end, or to read its configuration again.
+type signals struct{ stop, reload chan os.Signal }
+
 // tune keeps the process within its limits.
 func tune(c config) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.cores))))
@@ -48,7 +53,7 @@
 }
 
 // run is the program from start to exit. What holds for the whole process is left to its caller.
-func run(ctx context.Context, getenv func(string) string, stop <-chan os.Signal, log *slog.Logger,
+func run(ctx context.Context, getenv func(string) string, signals signals, log *slog.Logger,
 	level *slog.LevelVar, tune func(config)) error {
 	conf, err := load(getenv("GW_CONFIG"), getenv("GW_LISTEN"), cmp.Or(getenv("BROOKMUX_M3UA"), "deploy/m3ua.toml"),
 		cmp.Or(getenv("BROOKMUX_STORE"), "deploy/store.toml"))
@@ -100,10 +105,12 @@
 		merge.Set("names", kind, l.Switches())
 	}
 	told(known, brookmux.Cached)
-	go func() {
-		failed <- reader.Follow(ctx, conf.nameserver, known.Serial, log,
-			func(l directory.List) { told(l, brookmux.Full) })
-	}()
+	names, err := directory.NewService(reader, conf.nameserver, known.Serial, log,
+		func(l directory.List) { told(l, brookmux.Full) })
+	if err != nil {
+		return err
+	}
+	go func() { failed <- names.Run(ctx) }()
 	manager, err := openManager(conf.manage, manager{name: conf.name, log: log, level: level, engine: engine,
 		front: front, most: conf.settings.MostHeld}, failed)
 	if err != nil {
@@ -122,18 +129,26 @@
 	}
 	go func() { failed <- front.Serve(ctx, listener) }()
 
-	select {
-	case err := <-failed:
-		return errors.Join(errors.New("stopped by itself"), err)
-	case <-stop:
-	}
-	if err := phase.To(lifecycle.Draining); err != nil {
-		return err
-	}
-	select {
-	case err := <-failed:
-		return errors.Join(errors.New("stopped by itself"), err)
-	case <-engine.Drain():
+	reloader := &reloader{path: getenv("GW_CONFIG"), conf: conf.platform, reader: reader, names: names, log: log}
+	for drained := (<-chan struct{})(nil); ; {
+		select {
+		case err := <-failed:
+			return errors.Join(errors.New("stopped by itself"), err)
+		case <-signals.reload: // also while draining: what is open still follows the name service
+			reloader.reload()
+			continue
+		case <-signals.stop:
+			if drained != nil {
+				continue
+			}
+			if err := phase.To(lifecycle.Draining); err != nil {
+				return err
+			}
+			drained = engine.Drain()
+			continue
+		case <-drained:
+		}
+		break
 	}
 	front.Close()
 	cancel()
--- a/cmd/brookmux/main_test.go
+++ b/cmd/brookmux/main_test.go
@@ -17,14 +17,23 @@
 )
 
 // inProcess runs the program in the test's own process, where the race detector sees it.
-func inProcess(_ *testing.T, env map[string]string, out io.Writer) (func(), func() error) {
-	stop, done := make(chan os.Signal, 1), make(chan error, 1)
+func inProcess(_ *testing.T, env map[string]string, out io.Writer) playback.Process {
+	s, done := signals{make(chan os.Signal, 1), make(chan os.Signal, 1)}, make(chan error, 1)
 	level := &slog.LevelVar{}
 	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level}))
 	go func() {
-		done <- run(context.Background(), func(k string) string { return env[k] }, stop, log, level, func(config) {})
+		done <- run(context.Background(), func(k string) string { return env[k] }, s, log, level, func(config) {})
 	}()
-	return sync.OnceFunc(func() { stop <- syscall.SIGTERM }), sync.OnceValue(func() error { return <-done })
+	return playback.Process{Wait: sync.OnceValue(func() error { return <-done }), Signal: func(sig os.Signal) {
+		to := s.stop
+		if sig == syscall.SIGHUP {
+			to = s.reload
+		}
+		select { // as signal.Notify does
+		case to <- sig:
+		default:
+		}
+	}}
 }
 
 // TestExchanges plays the recorded exchanges.
@@ -36,13 +45,13 @@
 	bin := filepath.Join(t.TempDir(), "brookmux")
 	out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput()
 	require.NoError(t, err, "%s", out)
-	playback.Run(t, "testdata/call_*.txt", func(t *testing.T, env map[string]string, out io.Writer) (func(), func() error) {
+	playback.Run(t, "testdata/call_*.txt", func(t *testing.T, env map[string]string, out io.Writer) playback.Process {
 		c := exec.Command(bin)
 		for k, v := range env {
 			c.Env = append(c.Env, k+"="+v)
 		}
 		c.Stdout, c.Stderr = out, out
 		require.NoError(t, c.Start())
-		return sync.OnceFunc(func() { _ = c.Process.Signal(syscall.SIGTERM) }), sync.OnceValue(c.Wait)
+		return playback.Process{Wait: sync.OnceValue(c.Wait), Signal: func(sig os.Signal) { _ = c.Process.Signal(sig) }}
 	})
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -3,12 +3,9 @@
 package directory
 
 import (
-	"context"
 	"errors"
 	"fmt"
-	"log/slog"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -22,12 +19,7 @@
 	"brookmux"
 )
 
-const (
-	service    = "_app._tcp.cluster.lan."
-	askEvery   = 200 * time.Millisecond
-	answerMost = 8 << 10
-	logEvery   = 5 * time.Second
-)
+const service = "_app._tcp.cluster.lan."
 
 // Entry is a core as listed.
 type Entry struct {
@@ -135,6 +127,10 @@
 	if !m.Response || m.RCode != dnsmessage.RCodeSuccess || m.Truncated {
 		return m.ID, List{}, fmt.Errorf("directory: answer: %v, response %v, truncated %v", m.RCode, m.Response, m.Truncated)
 	}
+	if len(m.Questions) != 1 || !strings.EqualFold(m.Questions[0].Name.String(), service) ||
+		m.Questions[0].Type != dnsmessage.TypeSRV {
+		return m.ID, List{}, errors.New("directory: answer is to another question")
+	}
 	l, numbered := List{}, false
 	ports, addrs := map[string]uint16{}, map[string]string{}
 	entries := map[string]Entry{}
@@ -191,64 +187,6 @@
 	return m.ID, l, nil
 }
 
-// Follow asks the name service until the context ends and hands each newer list on. An event counts as told
-// once an answer that holds it was sent, so answers are read as they come, late ones too.
-func (r Reader) Follow(ctx context.Context, server string, serial uint32, log *slog.Logger, told func(List)) error {
-	conn, err := net.Dial("udp", server)
-	if err != nil {
-		return fmt.Errorf("directory: %w", err)
-	}
-	defer conn.Close()
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	go ask(ctx, conn)
-	buf, logged := make([]byte, answerMost+1), time.Time{}
-	for {
-		n, err := conn.Read(buf)
-		if ctx.Err() != nil {
-			return nil
-		}
-		var l List
-		if err == nil {
-			_, l, err = r.Answer(buf[:n])
-		}
-		if err != nil {
-			if time.Since(logged) > logEvery {
-				log.Warn("name service", "error", err)
-				logged = time.Now()
-			}
-			if n == 0 { // refused: the service is down for the moment
-				select {
-				case <-time.After(askEvery):
-				case <-ctx.Done():
-				}
-			}
-			continue
-		}
-		if l.Serial > serial {
-			serial = l.Serial
-			told(l)
-			log.Info("list", "serial", serial, "cores", len(l.Entries))
-		}
-	}
-}
-
-// ask sends a question every so often.
-func ask(ctx context.Context, conn net.Conn) {
-	tick := time.NewTicker(askEvery)
-	defer tick.Stop()
-	for {
-		q, err := query(uint16(rand.Uint32()))
-		if err == nil {
-			_, _ = conn.Write(q) // a lost question is asked again at the next tick
-		}
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // Switches are the list's lines in the module's words.
 func (l List) Switches() []brookmux.Switch {
 	var out []brookmux.Switch
--- a/internal/playback/playback.go
+++ b/internal/playback/playback.go
@@ -5,9 +5,11 @@
 //	c1, c2 ... cores by exchange number, JSON lines
 //	p1, p2 ... M3UA peers by ASP identifier, hex; what follows a ; is a comment
 //	x5 ...     exchanges that the program reaches by M3UA, by number, hex
-//	names      the name service: "list SERIAL", then lines "c1 ready" or "c2 draining"
+//	names      the name service: "list SERIAL", then lines "c1 ready" or "c2 draining"; or "move" to another
+//	           address, which the configuration file names from then on
 //	g          an operator, gNMI: "sends" CALL and a message as text, "gets" one, or "code NAME"
-//	program    "stops" (it is told to), "exits" (without an error)
+//	program    "stops" (it is told to), "exits" (without an error), "reloads" its configuration file, in which
+//	           the block's lines "OLD => NEW" have been replaced
 //
 // Verbs are sends, gets, gets after 300ms (since the last step, at least), closes, resets, refuses (closes and
 // accepts nothing more) and is closed. In what is got, <*> stands for any word, and <name> for one that is the
@@ -32,6 +34,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -41,9 +44,14 @@
 
 const patience = 20 * time.Second // for anything to arrive: only a failure takes so long
 
-// Program starts the program with these variables; its log goes to out. stop tells it to end, wait returns
-// how it ended.
-type Program func(t *testing.T, env map[string]string, out io.Writer) (stop func(), wait func() error)
+// Program starts the program with these variables; its log goes to out.
+type Program func(t *testing.T, env map[string]string, out io.Writer) Process
+
+// Process is the program while it runs. Wait returns how it ended, any number of times.
+type Process struct {
+	Signal func(os.Signal)
+	Wait   func() error
+}
 
 // Run plays every file of a pattern as a subtest.
 func Run(t *testing.T, pattern string, start Program) {
@@ -71,9 +79,9 @@
 	mu      sync.Mutex
 	last    time.Time
 	ledger  *ledger
-	stop    func()
-	wait    func() error
+	process Process
 	stopped bool
+	env     map[string]string
 
 	operator *operator
 }
@@ -134,10 +142,7 @@
 			}
 		}
 	}
-	var err error
-	s.names, err = net.ListenPacket("udp", "127.0.0.1:0")
-	require.NoError(s.t, err)
-	go s.serveNames()
+	s.listenNames()
 	dir := s.t.TempDir()
 	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,
 "sockets":%s},"nameserver":%q,"known":{"rev":1,"notices":[{"rev":1,"pool":{"revision":1,"complete":true,"members":[%s]}}]},
@@ -151,7 +156,28 @@
 	require.NoError(s.t, os.WriteFile(env["GW_CONFIG"], []byte(config), 0o600))
 	require.NoError(s.t, os.WriteFile(env["BROOKMUX_M3UA"], []byte(toml), 0o600))
 	require.NoError(s.t, os.WriteFile(env["BROOKMUX_STORE"], []byte("gnmi = \"127.0.0.1:0\"\n"), 0o600))
-	s.stop, s.wait = start(s.t, env, s.log)
+	s.env = env
+	s.process = start(s.t, env, s.log)
+}
+
+// stop tells the program to end.
+func (s *stage) stop() { s.process.Signal(syscall.SIGTERM) }
+
+// listenNames opens the name service.
+func (s *stage) listenNames() {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	s.names = conn
+	go s.serveNames(conn)
+}
+
+// rewrite replaces text in the program's configuration file.
+func (s *stage) rewrite(old, new string) {
+	text, err := os.ReadFile(s.env["GW_CONFIG"])
+	require.NoError(s.t, err)
+	require.Contains(s.t, string(text), old)
+	text = []byte(strings.ReplaceAll(string(text), old, new))
+	require.NoError(s.t, os.WriteFile(s.env["GW_CONFIG"], text, 0o600))
 }
 
 // listen sets up an actor that the program connects to.
@@ -180,7 +206,19 @@
 		s.stopped = true
 		s.stop()
 	case name == "program" && verb == "exits":
-		require.NoError(s.t, s.wait(), "%s", s.log)
+		require.NoError(s.t, s.process.Wait(), "%s", s.log)
+	case name == "program" && verb == "reloads":
+		for line := range strings.Lines(payload) {
+			old, new, ok := strings.Cut(strings.TrimSpace(line), " => ")
+			require.True(s.t, ok, line)
+			s.rewrite(old, new)
+		}
+		s.process.Signal(syscall.SIGHUP)
+	case name == "names" && verb == "move":
+		old := s.names
+		s.listenNames()
+		old.Close()
+		s.rewrite(old.LocalAddr().String(), s.names.LocalAddr().String())
 	case name == "log":
 		require.True(s.t, s.log.await(payload), "the log never had %q:\n%s", payload, s.log)
 	case name == "g":
@@ -364,7 +402,7 @@
 	if !s.stopped {
 		s.stop()
 	}
-	require.NoError(s.t, s.wait(), "%s", s.log)
+	require.NoError(s.t, s.process.Wait(), "%s", s.log)
 	for _, a := range s.actors {
 		if a.conn != nil {
 			b, _ := io.ReadAll(a.r) // the program has ended: this ends too, cleanly or not
@@ -377,9 +415,9 @@
 
 // close frees what a failed play leaves open.
 func (s *stage) close() {
-	if s.stop != nil {
+	if s.process.Wait != nil {
 		s.stop()
-		_ = s.wait() // a failure was reported before
+		_ = s.process.Wait() // a failure was reported before
 	}
 	s.names.Close()
 	for _, a := range s.actors {
@@ -398,6 +436,7 @@
 	require.NoError(s.t, err)
 	class, service := dnsmessage.ClassINET, dnsmessage.MustNewName("_app._tcp.cluster.lan.")
 	m := dnsmessage.Message{Header: dnsmessage.Header{Response: true, Authoritative: true}}
+	m.Questions = []dnsmessage.Question{{Name: service, Type: dnsmessage.TypeSRV, Class: class}}
 	m.Authorities = []dnsmessage.Resource{{Header: dnsmessage.ResourceHeader{Name: service, Class: class},
 		Body: &dnsmessage.SOAResource{NS: service, MBox: service, Serial: uint32(n)}}}
 	for line := range strings.Lines(lines) {
@@ -423,10 +462,10 @@
 }
 
 // serveNames answers the program's questions once there is a list to answer with.
-func (s *stage) serveNames() {
+func (s *stage) serveNames(conn net.PacketConn) {
 	buf := make([]byte, 512)
 	for {
-		n, from, err := s.names.ReadFrom(buf)
+		n, from, err := conn.ReadFrom(buf)
 		if err != nil {
 			return
 		}
@@ -435,7 +474,7 @@
 		s.mu.Unlock()
 		if n >= 2 && b != nil {
 			copy(b, buf[:2])
-			_, _ = s.names.WriteTo(b, from) // the program may have ended
+			_, _ = conn.WriteTo(b, from) // the program may have ended
 		}
 	}
 }
