An id belongs to its first caller; unfit requests and silent connections go early

A probe in the front that logged each set-up with its connection showed that every 'served' went to a connection that had sent the id of an open call with another description. Ruled out: descriptions the cores could use (they answer 'error'), and answers sent to the wrong connection.

At fault: core/takein.go moved a call to whichever connection repeated its id, and dropped a set-up under an id that was over without any answer; Withdraw and Hangup took a call from whoever named it. sipfront took figures as they came (nan, -3, 99), had no bound on silence, and evicted the connection idle longest, which under hundreds of silent ones is a usual caller's. A release could go out on a connection that never reads.

--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -78,7 +78,7 @@
 	var front *sipfront.Front
 	reports := make(chan core.Counts, 1)
 	engine, err := core.New(core.Config{Settings: conf.settings, Seed: conf.seed, Trunks: links, Log: log,
-		Origin: reader.Origin, Reports: reports,
+		Origin: reader.Origin, Reports: reports, MostBytes: conf.memory / 8,
 		Stray: func(key string, cause core.Cause) { front.Stray(key, cause) },
 		Took:  func() { _ = phase.To(lifecycle.Serving) }, // not ahead when it already drains
 	})
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -16,6 +16,7 @@
 	out      *leg          // the attempt that is out, or the one that stands
 	notUntil time.Duration // the wait after a timeout, reset or cancel
 	answered bool
+	size     int64           // that its request counts for while it is owed an answer
 	at       time.Duration   // when it came
 	last     brookmux.Result // of its last attempt
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -41,6 +41,7 @@
 // Verdict is a final answer other than that the call stands.
 type Verdict struct {
 	Failed bool          // given up, and trying again may do harm; else turned away
+	Bad    bool          // the request is at fault itself: no other answer would come to it later
 	Wait   time.Duration // how long the caller should stay away, 0 for no advice
 	Cause  Cause
 	Why    string // for the log and for people who read traces
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"brookmux"
@@ -13,7 +14,7 @@
 )
 
 const (
-	queueLength   = 4096
+	queueLength   = 1024
 	answerEarly   = 20 * time.Millisecond  // a final answer leaves this long before the caller's own deadline
 	guardLate     = 10 * time.Millisecond  // the guard on the deadline waits for the module this long
 	releaseMargin = 20 * time.Millisecond  // on the wait after a timeout, reset or cancel: peers may read late
@@ -32,6 +33,8 @@
 	Stray    func(key string, cause Cause) // releases a call that this process did not set up
 	Took     func()                        // called at the first request, may be nil
 	Reports  chan<- Counts                 // gets the totals now and then if it has room, may be nil
+
+	MostBytes int64 // of requests that may be held at a time, 0 for any number
 }
 
 // Engine owns the module and the table of calls. Use New, then Run.
@@ -51,7 +54,10 @@
 	switches map[brookmux.SwitchID]brookmux.Switch
 	recent   [2]map[string]struct{}
 	loads    map[int]*load // by exchange
+	numbers  map[int]bool  // of the exchanges that were ever listed
 	open     int           // calls that are owed an answer
+	held     atomic.Int64  // bytes of the requests that are queued or owed an answer
+	strayAt  time.Duration // when the last hang-up of an unknown call was paid for
 	after    []func()
 	counts   Counts
 	drained  chan struct{}
@@ -67,7 +73,8 @@
 	e := &Engine{Config: c, queue: make(chan func(), queueLength), done: make(chan struct{}), wake: time.NewTimer(time.Hour),
 		most: c.Settings.MostHeld, every: countsEvery,
 		classes: map[string]int{}, calls: map[string]*call{}, byID: map[brookmux.CallID]*call{},
-		switches: map[brookmux.SwitchID]brookmux.Switch{}, drained: make(chan struct{}), loads: map[int]*load{}}
+		switches: map[brookmux.SwitchID]brookmux.Switch{}, drained: make(chan struct{}), loads: map[int]*load{},
+		numbers: map[int]bool{}}
 	e.recent = [2]map[string]struct{}{{}, {}}
 	for i, name := range c.Settings.ClassNames {
 		e.classes[name] = i
@@ -202,6 +209,7 @@
 		}
 		for _, s := range m.Switches {
 			e.switches[s.ID] = s
+			e.numbers[s.Number] = true
 		}
 		e.ctl.Members(e.now, m)
 		e.Config.Log.Debug("members", "kind", m.Kind, "switches", m.Switches, "now", e.now)
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -15,7 +15,6 @@
 		l := c.out
 		l.timeout.stop()
 		l.stands = true
-		c.Description = nil
 		e.answer(c)
 		c.Caller.Stands(key, description)
 		e.debug("stands", c, l, r)
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -1,23 +1,48 @@
 package core
 
-import "brookmux"
+import (
+	"time"
 
-// Offer takes a request in: the first stage. It may wait while the queue is full, so that a caller that
-// sends faster than calls can be decided is slowed by its own connection.
-func (e *Engine) Offer(r Request) { e.post(func() { e.takeIn(r) }) }
+	"brookmux"
+)
 
-// takeIn enters a request in the table.
-func (e *Engine) takeIn(r Request) {
-	if c := e.calls[r.Key]; c != nil {
-		// A set-up that crossed the close of its connection is sent again on a new one: it must not be
-		// answered twice, nor on the old one.
-		e.counts.Repeated++
-		c.Caller = r.Caller
+const (
+	beside       = 512 // bytes that a request takes beside its description, about
+	strayEvery   = 10 * time.Millisecond
+	strayBurst   = 256 // hang-ups of calls that nobody here knows, passed on at once
+	causeRefused = 111 // protocol error, unspecified
+)
+
+// Offer takes a request in: the first stage. It may wait while the queue is full, so that a caller that
+// sends faster than calls can be decided is slowed by its own connection. Descriptions are held only as far as
+// memory was set aside for them.
+func (e *Engine) Offer(r Request) {
+	size := int64(len(r.Description) + beside)
+	if e.held.Add(size) > e.MostBytes && e.MostBytes > 0 {
+		e.held.Add(-size)
+		r.Caller.Refuse(r.Key, Verdict{Wait: e.Settings.Module.MaxRetryAfter, Cause: Congestion, Why: "out of memory"})
 		return
 	}
-	if e.ended(r.Key) {
+	e.post(func() {
+		if !e.takeIn(r, size) {
+			e.held.Add(-size)
+		}
+	})
+}
+
+// takeIn enters a request in the table, and tells whether it did.
+func (e *Engine) takeIn(r Request, size int64) bool {
+	if why := e.unfit(r); why != "" {
+		e.counts.Unfit++
+		r.Caller.Refuse(r.Key, Verdict{Failed: true, Bad: true, Cause: NotImplemented, Why: why})
+		return false
+	}
+	if e.calls[r.Key] != nil || e.ended(r.Key) {
+		// Whoever uses another call's id must not get that call's answer, nor take it from its caller. One that
+		// is over stays over: what a core still says of it must not reach a later call.
 		e.counts.Repeated++
-		return
+		r.Caller.Refuse(r.Key, Verdict{Failed: true, Bad: true, Cause: causeRefused, Why: "id is in use"})
+		return false
 	}
 	if !e.started {
 		e.started = true
@@ -26,12 +51,16 @@
 		}
 	}
 	e.lastID++
-	c := &call{Request: r, id: e.lastID, at: e.now, expires: e.now + r.Left - answerEarly}
+	if most := e.Settings.Module.Classes[e.classes[r.Class]].Deadline; most > 0 {
+		r.Left = min(r.Left, most)
+	}
+	c := &call{Request: r, id: e.lastID, at: e.now, expires: e.now + r.Left - answerEarly, size: size}
 	e.calls[r.Key], e.byID[c.id] = c, c
 	e.open++
 	e.counts.Taken++
 	c.deadline = e.in(c.expires-e.now+guardLate, func() { e.overdue(c) })
 	e.admit(c)
+	return true
 }
 
 // overdue answers a call that the module left open past its deadline.
@@ -45,17 +74,17 @@
 	e.refuse(c, Verdict{Cause: TimerExpiry, Why: "deadline passed"})
 }
 
-// Withdraw takes word that the caller no longer waits for a set-up. then runs, in the owner's goroutine,
-// with whether the call was still owed an answer.
-func (e *Engine) Withdraw(key string, then func(open bool)) {
+// Withdraw takes a caller's word that it no longer waits for a set-up of its own. then runs, in the owner's
+// goroutine, with whether the call was still owed an answer, and whether it is or was one that is known here.
+func (e *Engine) Withdraw(who Caller, key string, then func(open, known bool)) {
 	e.post(func() {
 		c := e.calls[key]
-		open := c != nil && !c.answered
+		open := c != nil && !c.answered && c.Caller == who
 		if open {
 			e.counts.Withdrawn++
 			e.leave(c)
 		}
-		then(open)
+		then(open, c != nil && c.Caller == who || e.ended(key))
 	})
 }
 
@@ -88,11 +117,12 @@
 	}
 }
 
-// Hangup takes a caller's release of a call that stands. One that this process does not know, as after a
-// restart, is passed on to every core; then tells whether it was known.
-func (e *Engine) Hangup(key string, cause Cause, then func(known bool)) {
+// Hangup takes a caller's release of a call that stands, or of a set-up of its own. One that this process does
+// not know, as after a restart, is passed on to every core; then tells whether it was known.
+func (e *Engine) Hangup(who Caller, key string, cause Cause, then func(known bool)) {
 	e.post(func() {
 		c := e.calls[key]
+		known := c != nil || e.ended(key)
 		switch {
 		case c != nil && c.out != nil && c.out.stands:
 			l := c.out
@@ -101,11 +131,25 @@
 			e.ctl.Ended(e.now, brookmux.Outcome{Call: c.id, Attempt: l.number, Switch: l.to,
 				Result: brookmux.ResultCancelled, Took: e.now - l.at, Over: true, Report: noReport})
 			e.close(c)
-		case c != nil: // a BYE that overtook its CANCEL
+		case c != nil && c.Caller == who: // a BYE that overtook its CANCEL
+			e.counts.Withdrawn++
 			e.leave(c)
-		case !e.ended(key): // set up by an earlier process of this name
+		case c != nil: // not the caller's own, and not yet a call
+			known = false
+		case !known && e.strayAllowed(): // set up by an earlier process of this name
 			e.Trunks.ReleaseAnywhere(key, cause)
 		}
-		then(c != nil || e.ended(key))
+		then(known)
 	})
 }
+
+// strayAllowed tells whether one more hang-up of an unknown call may go to every core. Each is a message to all
+// of them, and anyone can make up ids.
+func (e *Engine) strayAllowed() bool {
+	e.strayAt = max(e.strayAt, e.now-strayBurst*strayEvery)
+	if e.strayAt+strayEvery > e.now {
+		return false
+	}
+	e.strayAt += strayEvery
+	return true
+}
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -17,7 +17,7 @@
 type Engine interface {
 	Offer(r core.Request)
 	CallerLost(who core.Caller, keys []string)
-	Hangup(key string, cause core.Cause, then func(known bool))
+	Hangup(who core.Caller, key string, cause core.Cause, then func(known bool))
 }
 
 // Causes that the server gives itself (Q.850).
@@ -195,7 +195,7 @@
 		if c != nil && at != releasing {
 			// The circuit is free from RLC on; an ANM that crosses this REL finds it gone.
 			g.clear(m.cic)
-			p.server.engine.Hangup(c.key, m.cause, func(bool) {})
+			p.server.engine.Hangup(c.owner.(*caller), c.key, m.cause, func(bool) {})
 		} else if c != nil {
 			g.clear(m.cic) // both ends released it
 		}
@@ -262,7 +262,7 @@
 func (c *caller) Stands(key string, description []byte) {
 	if !fits(description) {
 		c.group.release(c.circuit, core.TemporaryFailure, 0)
-		go c.engine.Hangup(key, core.TemporaryFailure, func(bool) {})
+		go c.engine.Hangup(c, key, core.TemporaryFailure, func(bool) {})
 		return
 	}
 	if c.group.answer(c.circuit) {
--- a/internal/playback/ledger.go
+++ b/internal/playback/ledger.go
@@ -14,7 +14,7 @@
 // ledger is what was seen of every call, on whichever wire, and the rules that it must keep.
 type ledger struct {
 	t     *testing.T
-	asked map[string]int       // by caller and call: set-ups sent to the program
+	asked map[string]int       // by caller and call: final answers owed by the program
 	final map[string]int       // by caller and call: final answers got
 	moot  map[string]bool      // given up by the caller, or its connection ended: no answer is owed
 	out   map[string]string    // by call: the core that has an attempt
@@ -55,8 +55,8 @@
 		}
 	default:
 		method, _, _ := strings.Cut(string(b), " ")
-		if method == "INVITE" {
-			l.asked[key(actor, callID(b))]++
+		if k := key(actor, callID(b)); method == "INVITE" && l.final[k] >= l.asked[k] {
+			l.asked[k]++ // two under one id are owed one answer
 		} else if method == "CANCEL" {
 			l.moot[key(actor, callID(b))] = true
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,7 @@
 	ClassNames     []string      // by the module's class index
 	ReportNames    []string      // of a load report's values, in order
 	Zones          []string      // by the module's zone index
+	Widths         []float64     // circuits that a call takes, by the module's class index
 	ConnectTimeout time.Duration // a connection that takes longer has failed
 	Keepalive      time.Duration // idle connections close after this
 	AnswerGrace    time.Duration // after a caller's deadline
@@ -77,6 +78,11 @@
 	s.Module.Ask = word(&r, "discovery", r.text(v, "discovery"), discoveries)
 	s.Module.Pools = word(&r, "specifics.shape", r.text(spec, "shape"), shapes)
 	s.Module.Reports = word(&r, "loadReport.how", r.text(report, "how"), reporting)
+	for _, w := range r.list(spec, "channelsNeeded") {
+		f, err := w.Float64()
+		r.keep("channelsNeeded", err)
+		s.Widths = append(s.Widths, f)
+	}
 	r.classes(&s, v, spec)
 	return s, r.err
 }
--- a/internal/sipfront/conn.go
+++ b/internal/sipfront/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"hash/maphash"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -13,15 +15,41 @@
 	"brookmux/internal/stream"
 )
 
+const (
+	firstWithin   = 2500 * time.Millisecond // a new connection brings its first whole message in this time
+	messageWithin = 2 * time.Second         // from the first byte of a message to its last
+	idleMost      = 10 * time.Second        // with no set-up open; callers close theirs after 4 s
+	mostFaults    = 16                      // messages at fault, one after another, before the connection ends
+	mostOpen      = 512                     // set-ups open on one connection
+)
+
+var (
+	errFaults   = errors.New("too many messages at fault")
+	errRepeated = errors.New("one id for two set-ups")
+	errAnswer   = errors.New("answer to nothing")
+)
+
 // conn is a caller's connection. It is the core's Caller for the set-ups that came on it.
 type conn struct {
 	*stream.Writer
-	front *Front
-	last  atomic.Int64 // Unix nanoseconds of the last message
+	nc     net.Conn
+	front  *Front
+	born   time.Time
+	last   atomic.Int64 // Unix nanoseconds of the last message
+	faults atomic.Int32 // messages at fault since the last good one
+	heard  atomic.Bool  // a whole message has come
+	proved atomic.Bool  // a set-up that came on it stood
 
 	mu      sync.Mutex
-	invites map[string]message // set-ups that are owed an answer
-	byes    map[string]sent    // releases not yet heard
+	over    bool            // nothing more is taken
+	invites map[string]open // set-ups that are owed an answer
+	byes    map[string]sent // releases not yet heard
+}
+
+// open is a set-up that is owed an answer, with what tells it from another under the same id.
+type open struct {
+	message
+	sum uint64
 }
 
 // sent is a release with the time of its writing.
@@ -31,34 +59,48 @@
 }
 
 func newConn(f *Front, nc net.Conn) *conn {
-	c := &conn{Writer: stream.NewWriter(nc), front: f, invites: map[string]message{}, byes: map[string]sent{}}
-	c.last.Store(time.Now().UnixNano())
+	c := &conn{Writer: stream.NewWriter(nc), nc: nc, front: f, born: time.Now(), invites: map[string]open{},
+		byes: map[string]sent{}}
+	c.last.Store(c.born.UnixNano())
 	return c
 }
 
 // serve reads the connection to its end; set-ups open on it are withdrawn then.
 func (c *conn) serve(r *stream.Reader) {
 	err := c.read(r)
+	if keys := c.end(); len(keys) > 0 {
+		c.front.engine.CallerLost(c, keys)
+		c.front.log.Info("caller connection over", "open", len(keys), "error", err)
+	} else if err != nil && !errors.Is(err, io.EOF) {
+		c.front.log.Debug("caller connection over", "error", err)
+	}
+	if gone := (*net.OpError)(nil); errors.Is(err, io.EOF) || errors.As(err, &gone) && !gone.Timeout() {
+		c.Finish() // the caller has ended it
+	} else {
+		c.Part()
+	}
+	c.front.gone(c)
+}
+
+// end marks the connection as over and returns the set-ups that were open on it.
+func (c *conn) end() []string {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.over = true
 	keys := make([]string, 0, len(c.invites))
 	for k := range c.invites {
 		keys = append(keys, k)
 	}
 	clear(c.invites)
-	c.mu.Unlock()
-	c.Finish() // an answer to a malformed message still leaves
-	c.front.gone(c)
-	if len(keys) > 0 {
-		c.front.engine.CallerLost(c, keys)
-	}
-	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
-		c.front.log.Info("caller connection over", "open", len(keys), "error", err)
-	}
+	return keys
 }
 
-// read takes messages until the connection ends or is out of step.
+// read takes messages until the connection ends, is out of step or is not worth keeping.
 func (c *conn) read(r *stream.Reader) error {
 	for {
+		if err := c.await(r); err != nil {
+			return err
+		}
 		m, err := read(r)
 		var bad *problem
 		if errors.As(err, &bad) && m.status == 0 && m.id() != "" && m.header.Get("Cseq") != "" {
@@ -68,40 +110,79 @@
 			return err
 		}
 		c.last.Store(time.Now().UnixNano())
-		if m.status == 0 && (m.id() == "" || m.header.Get("Cseq") == "") {
-			c.reply(m, 400, "Call-ID or CSeq is missing")
-			continue
+		if err := c.take(m); err != nil {
+			return err
+		}
+		if c.faults.Load() >= mostFaults { // the same again as soon as it is turned away, for ever
+			return errFaults
 		}
-		c.take(m)
 	}
 }
 
-// take handles a message.
-func (c *conn) take(m message) {
-	switch {
-	case m.status != 0:
-		if m.method == "BYE" && m.status >= 200 {
-			c.mu.Lock()
-			delete(c.byes, m.id())
-			c.mu.Unlock()
+// await waits for the start of a message, and sets the time that the rest of it may take. Connections that say
+// nothing must not hold the descriptors of those that do.
+func (c *conn) await(r *stream.Reader) error {
+	until, heard := time.Now().Add(idleMost), c.heard.Load()
+	if !heard {
+		until = c.born.Add(firstWithin)
+	}
+	for {
+		if err := c.nc.SetReadDeadline(until); err != nil {
+			return err
+		}
+		b, err := r.R.Peek(1)
+		switch {
+		case err == nil && (b[0] == '\r' || b[0] == '\n'): // a keep-alive
+			_, _ = r.R.Discard(1) // it was peeked
+		case err == nil && !heard:
+			return nil
+		case err == nil:
+			return c.nc.SetReadDeadline(time.Now().Add(messageWithin))
+		case errors.Is(err, os.ErrDeadlineExceeded) && heard && !c.idle():
+			until = time.Now().Add(idleMost)
+		default:
+			return err
+		}
+	}
+}
+
+// take handles a message. An error ends the connection.
+func (c *conn) take(m message) error {
+	if m.status != 0 {
+		if !c.heardBye(m) && !c.heard.Load() {
+			return errAnswer
 		}
+		c.heard.Store(true)
+		return nil
+	}
+	if !c.heard.Swap(true) {
+		c.front.open(c)
+	}
+	switch {
+	case m.id() == "" || m.header.Get("Cseq") == "":
+		c.fault(m, 400, "Call-ID or CSeq is missing")
 	case m.method == "INVITE":
-		c.invite(m)
+		return c.invite(m)
 	case m.method == "ACK":
 	case m.method == "CANCEL":
-		c.reply(m, 200, "OK")
-		c.front.engine.Withdraw(m.id(), func(open bool) {
-			if invite, ok := c.settle(m.id()); ok && open {
-				c.Send(end(invite.answer(487, "Request Terminated"), nil))
+		c.front.engine.Withdraw(c, m.id(), func(open, known bool) {
+			if !known {
+				c.fault(m, 481, "Call Does Not Exist")
+				return
+			}
+			c.reply(m, 200, "OK")
+			if open {
+				c.withdrawn(m.id())
 			}
 		})
 	case m.method == "BYE":
-		c.front.engine.Hangup(m.id(), m.cause(), func(known bool) {
-			if known {
-				c.reply(m, 200, "OK")
-			} else {
-				c.reply(m, 481, "Call Does Not Exist")
+		c.front.engine.Hangup(c, m.id(), m.cause(), func(known bool) {
+			if !known {
+				c.fault(m, 481, "Call Does Not Exist")
+				return
 			}
+			c.reply(m, 200, "OK")
+			c.withdrawn(m.id())
 		})
 	case m.method == "OPTIONS":
 		if c.front.tested() {
@@ -110,23 +191,74 @@
 			c.reply(m, 503, "Not Serving")
 		}
 	default:
-		c.reply(m, 405, "Method Not Allowed")
+		c.fault(m, 405, "Method Not Allowed")
 	}
+	return nil
 }
 
-// invite hands a set-up to the core.
-func (c *conn) invite(m message) {
+// heardBye takes the answer to a release, and tells whether there was one to answer.
+func (c *conn) heardBye(m message) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.byes[m.id()]
+	if ok && m.method == "BYE" && m.status >= 200 {
+		delete(c.byes, m.id())
+	}
+	return ok
+}
+
+// invite hands a set-up to the core. An error ends the connection.
+func (c *conn) invite(m message) error {
 	r, err := m.request()
 	var bad *problem
 	if errors.As(err, &bad) {
-		c.reply(m, bad.status, bad.why)
-		return
+		c.fault(m, bad.status, bad.why)
+		return nil
 	}
 	r.Caller = c
+	o := open{message{method: m.method, header: m.header}, m.sum(c.front.seed)}
 	c.mu.Lock()
-	c.invites[r.Key] = message{method: m.method, header: m.header}
+	first, repeated := c.invites[r.Key]
+	if !repeated && len(c.invites) < mostOpen && !c.over {
+		c.invites[r.Key] = o
+	}
+	full, over := len(c.invites) >= mostOpen, c.over
 	c.mu.Unlock()
-	c.front.engine.Offer(r)
+	switch {
+	case over: // the caller sees the close, and sends the set-up again
+	case repeated && first.sum != o.sum:
+		// Which of the two an answer would be to, nobody could tell: neither gets more than this one.
+		if _, ok := c.settle(r.Key); ok {
+			c.front.engine.CallerLost(c, []string{r.Key})
+			c.reply(m, 482, "Loop Detected")
+		}
+		return errRepeated
+	case repeated: // the same again: its first copy is owed the one answer
+		c.faults.Add(1)
+	case full:
+		c.reply(m, 503, "Service Unavailable")
+	default:
+		c.front.engine.Offer(r)
+	}
+	return nil
+}
+
+// sum tells a message's content from another's.
+func (m message) sum(seed maphash.Seed) uint64 {
+	var h maphash.Hash
+	h.SetSeed(seed)
+	for _, s := range []string{m.uri, m.header.Get("X-Tier"), m.header.Get("X-Attrs"), m.header.Get("X-Deadline")} {
+		_, _ = h.WriteString(s) // never fails, see maphash
+		_ = h.WriteByte(0)
+	}
+	_, _ = h.Write(m.body)
+	return h.Sum64()
+}
+
+// fault answers a message that is at fault itself, and counts it.
+func (c *conn) fault(m message, status int, reason string) {
+	c.faults.Add(1)
+	c.reply(m, status, reason)
 }
 
 // reply writes an answer without a body.
@@ -134,8 +266,15 @@
 	c.Send(end(m.answer(status, reason), nil))
 }
 
+// withdrawn gives a set-up that its caller took back its final answer.
+func (c *conn) withdrawn(key string) {
+	if invite, ok := c.settle(key); ok {
+		c.reply(invite.message, 487, "Request Terminated")
+	}
+}
+
 // settle takes a set-up off those that are owed an answer.
-func (c *conn) settle(key string) (message, bool) {
+func (c *conn) settle(key string) (open, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m, ok := c.invites[key]
@@ -150,8 +289,23 @@
 	return len(c.invites) == 0
 }
 
+// evict ends a connection with nothing open, and tells whether it did. A set-up that is read after that is not
+// taken: its caller sees the close, and sends it again on another connection.
+func (c *conn) evict() bool {
+	c.mu.Lock()
+	idle := len(c.invites) == 0
+	c.over = c.over || idle
+	c.mu.Unlock()
+	if idle {
+		c.Finish()
+	}
+	return idle
+}
+
 // Stands implements core.Caller.
 func (c *conn) Stands(key string, description []byte) {
+	c.faults.Store(0)
+	c.proved.Store(true)
 	if m, ok := c.settle(key); ok {
 		c.Send(end(m.answer(200, "OK"), description))
 	}
@@ -164,7 +318,11 @@
 		return
 	}
 	status, reason := 503, "Service Unavailable"
-	if v.Failed {
+	switch {
+	case v.Bad:
+		c.faults.Add(1)
+		status, reason = 400, v.Why
+	case v.Failed:
 		status, reason = 500, "Server Internal Error"
 	}
 	b := m.answer(status, reason)
@@ -175,7 +333,9 @@
 }
 
 // Release implements core.Caller.
-func (c *conn) Release(key string, cause core.Cause) { c.front.release(c, release{key, cause}) }
+func (c *conn) Release(key string, cause core.Cause) {
+	c.front.release(c, release{key, cause, time.Now()})
+}
 
 // bye writes a release, and tells whether the connection took it.
 func (c *conn) bye(r release) bool {
@@ -187,8 +347,11 @@
 			delete(c.byes, k)
 		}
 	}
+	if c.over || !c.Send(bye(r.key, r.cause)) {
+		return false
+	}
 	c.byes[r.key] = sent{r, now}
-	return c.Send(bye(r.key, r.cause))
+	return true
 }
 
 // unheard lists the releases that may not have been read.
--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -1,11 +1,14 @@
 package sipfront
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,17 +20,18 @@
 )
 
 const (
-	byeAgain     = 2 * time.Second // releases written so shortly before a connection ended are written again
-	mostReleases = 8192            // releases kept for the next connection
+	byeAgain     = 2 * time.Second  // releases written so shortly before a connection ended are written again
+	mostReleases = 4096             // releases kept for the next connection
+	releaseLast  = 30 * time.Second // and how long: whoever was on the call has been told by others, or has gone
 	acceptPause  = 20 * time.Millisecond
 )
 
 // Engine is what the front hands requests to. *core.Engine is one.
 type Engine interface {
 	Offer(r core.Request)
-	Withdraw(key string, then func(open bool))
+	Withdraw(who core.Caller, key string, then func(open, known bool))
 	CallerLost(who core.Caller, keys []string)
-	Hangup(key string, cause core.Cause, then func(known bool))
+	Hangup(who core.Caller, key string, cause core.Cause, then func(known bool))
 }
 
 // Front holds the callers' connections.
@@ -37,6 +41,7 @@
 	log    *slog.Logger
 	most   int         // connections
 	out    atomic.Bool // out of service: tests fail
+	seed   maphash.Seed
 
 	mu     sync.Mutex
 	conns  map[*conn]struct{}
@@ -47,11 +52,13 @@
 type release struct {
 	key   string
 	cause core.Cause
+	at    time.Time
 }
 
 // New returns a Front that holds at most so many connections.
 func New(engine Engine, phase *lifecycle.Lifecycle, most int, log *slog.Logger) *Front {
-	return &Front{engine: engine, phase: phase, most: max(1, most), log: log, conns: map[*conn]struct{}{}}
+	return &Front{engine: engine, phase: phase, most: max(1, most), log: log, seed: maphash.MakeSeed(),
+		conns: map[*conn]struct{}{}}
 }
 
 // Serve accepts callers until the context ends or the listener fails.
@@ -73,33 +80,60 @@
 	}
 }
 
-// take starts a connection, in place of an idle one where there are as many as may be.
+// take starts a connection, in place of another where there are as many as may be.
 func (f *Front) take(nc net.Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.conns) >= f.most {
-		var idle *conn
-		for c := range f.conns {
-			if c.idle() && (idle == nil || c.last.Load() < idle.last.Load()) {
-				idle = c
-			}
-		}
-		if idle == nil {
-			f.log.Warn("too many connections", "open", len(f.conns))
-			nc.Close()
-			return
-		}
-		idle.Finish()
-		delete(f.conns, idle)
+	if len(f.conns) >= f.most && !f.makeRoom() {
+		f.log.Warn("too many connections", "open", len(f.conns))
+		nc.Close()
+		return
 	}
 	c := newConn(f, nc)
 	f.conns[c] = struct{}{}
+	go c.serve(stream.NewReader(nc))
+}
+
+// rank orders connections by what they are worth keeping: those that have said nothing go first, then those on
+// which no call ever stood. Hundreds that connect and say nothing push each other out, not the usual callers.
+func (c *conn) rank() int {
+	switch {
+	case !c.heard.Load():
+		return 0
+	case !c.proved.Load():
+		return 1
+	}
+	return 2
+}
+
+// makeRoom ends the connection that is worth least and, among those, has been silent longest. The lock is held.
+func (f *Front) makeRoom() bool {
+	var least *conn
+	for c := range f.conns {
+		if c.idle() && (least == nil || c.rank() < least.rank() ||
+			c.rank() == least.rank() && c.last.Load() < least.last.Load()) {
+			least = c
+		}
+	}
+	if least == nil || !least.evict() { // a set-up came in between
+		return false
+	}
+	delete(f.conns, least)
+	return true
+}
+
+// open takes a connection's first message: releases that waited for a connection go out on it. Not before: one
+// that says nothing may never read them.
+func (f *Front) open(c *conn) {
+	f.mu.Lock()
 	unsent := f.unsent
 	f.unsent = nil
+	f.mu.Unlock()
 	for _, r := range unsent {
-		c.bye(r)
+		if time.Since(r.at) < releaseLast {
+			f.release(c, r)
+		}
 	}
-	go c.serve(stream.NewReader(nc))
 }
 
 // gone takes a connection off; the releases that may not have been read go out on another.
@@ -112,16 +146,25 @@
 	}
 }
 
-// release tells a caller that a call is over, on the connection named if it is open, else on any, else on
-// the next: no connection owns a call that stands.
+// release tells a caller that a call is over, on the connection named if it is open, else on the one of most
+// worth that was heard last, else on the next: no connection owns a call that stands.
 func (f *Front) release(on *conn, r release) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if _, open := f.conns[on]; open && on.bye(r) {
 		return
 	}
+	var others []*conn
 	for c := range f.conns {
-		if c != on && c.bye(r) {
+		if c != on && c.heard.Load() {
+			others = append(others, c)
+		}
+	}
+	slices.SortFunc(others, func(a, b *conn) int {
+		return cmp.Or(cmp.Compare(b.rank(), a.rank()), cmp.Compare(b.last.Load(), a.last.Load()))
+	})
+	for _, c := range others {
+		if c.bye(r) {
 			return
 		}
 	}
@@ -131,7 +174,7 @@
 }
 
 // Stray releases a call whose connection is not known, as one that an earlier process set up.
-func (f *Front) Stray(key string, cause core.Cause) { f.release(nil, release{key, cause}) }
+func (f *Front) Stray(key string, cause core.Cause) { f.release(nil, release{key, cause, time.Now()}) }
 
 // Close ends all connections once what is queued on them has been written.
 func (f *Front) Close() {
--- a/internal/sipfront/message.go
+++ b/internal/sipfront/message.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/textproto"
 	"strconv"
 	"strings"
@@ -23,11 +24,10 @@
 	body   []byte
 }
 
-// problem is an error that can be answered: the message's status line and headers were read.
+// problem is an error that can be answered: the message's first line and headers were read.
 type problem struct {
 	status int
 	why    string
-	framed bool // the connection is still in step: it need not close
 }
 
 // Error implements error.
@@ -66,7 +66,7 @@
 	}
 	var protocol textproto.ProtocolError
 	if errors.As(err, &protocol) {
-		err = &problem{400, "malformed header", false}
+		err = &problem{400, "malformed header"}
 		if m.start(line) != nil {
 			return m, protocol
 		}
@@ -96,12 +96,18 @@
 
 // content reads the body, whose length every message has to state.
 func (m *message) content(r *stream.Reader) error {
-	n, err := strconv.Atoi(m.header.Get("Content-Length"))
-	if err != nil || n < 0 {
-		return &problem{400, "Content-Length is missing or malformed", false}
+	lengths := m.header["Content-Length"]
+	if len(lengths) != 1 { // two that differ would have the next message start at either
+		return &problem{400, "Content-Length is missing or malformed"}
 	}
-	if m.body, err = r.Body(n); errors.Is(err, stream.ErrTooLarge) {
-		return &problem{413, "message is larger than 16 KiB", false}
+	n, err := strconv.ParseUint(lengths[0], 10, 64) // digits only
+	if errors.Is(err, strconv.ErrRange) || err == nil && n > stream.MaxMessage {
+		return &problem{413, "message is larger than 16 KiB"}
+	} else if err != nil {
+		return &problem{400, "Content-Length is missing or malformed"}
+	}
+	if m.body, err = r.Body(int(n)); errors.Is(err, stream.ErrTooLarge) {
+		return &problem{413, "message is larger than 16 KiB"}
 	}
 	return err
 }
@@ -109,40 +115,57 @@
 // id is the call's name.
 func (m message) id() string { return m.header.Get("Call-Id") }
 
+// isKey tells whether a text is a call's name: 16 hex digits.
+func isKey(s string) bool {
+	_, err := strconv.ParseUint(s, 16, 64)
+	return len(s) == 16 && err == nil
+}
+
+// figure reads one of the whole numbers of X-Attrs, which may be written as "2" or "2.0".
+func figure(text string) (int, bool) {
+	v, err := strconv.ParseFloat(text, 64)
+	return int(v), err == nil && v == math.Trunc(v) && math.Abs(v) < 1<<20
+}
+
 // request turns an INVITE into a request, or tells what is wrong with it.
 func (m message) request() (core.Request, error) {
 	number, ok := strings.CutPrefix(m.uri, "sip:")
 	if number, _, ok = cutAt(number, ok); !ok {
-		return core.Request{}, &problem{400, "address is not sip:NUMBER@HOST", true}
+		return core.Request{}, &problem{400, "address is not sip:NUMBER@HOST"}
+	}
+	if !isKey(m.id()) {
+		return core.Request{}, &problem{400, "Call-ID is not 16 hex digits"}
 	}
 	left, err := strconv.ParseInt(m.header.Get("X-Deadline"), 10, 32)
 	if err != nil || left <= 0 {
-		return core.Request{}, &problem{400, "X-Deadline is missing or malformed", true}
+		return core.Request{}, &problem{400, "X-Deadline is missing or malformed"}
 	}
 	r := core.Request{Key: m.id(), Class: m.header.Get("X-Tier"), Number: number, Width: 1, Via: -1, Destination: -1,
 		Left: time.Duration(left) * time.Millisecond, Description: m.body}
 	if r.Class == "" {
-		return r, &problem{400, "X-Tier is missing", true}
+		return r, &problem{400, "X-Tier is missing"}
 	}
 	for part := range strings.SplitSeq(m.header.Get("X-Attrs"), ";") {
 		name, text, _ := strings.Cut(part, ":")
-		v, err := strconv.ParseFloat(text, 64)
-		if err != nil && part != "" {
-			return r, &problem{400, "X-Attrs is malformed", true}
+		v, ok := figure(text)
+		if !ok && part != "" {
+			return r, &problem{400, "X-Attrs is malformed"}
 		}
 		switch strings.TrimSpace(name) {
 		case "dest":
-			r.Destination = int(v)
+			r.Destination = v
 		case "width":
-			r.Width = v
+			if r.Width = float64(v); v < 1 {
+				return r, &problem{400, "X-Attrs names no circuit"}
+			}
 		case "via":
-			r.Via = int(v)
+			r.Via = v
 		case "transit":
 			r.Transit = v != 0
 		}
 	}
 	if r.Destination < 0 {
-		return r, &problem{400, "X-Attrs names no destination", true}
+		return r, &problem{400, "X-Attrs names no destination"}
 	}
 	return r, nil
 }
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/textproto"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,6 +21,8 @@
 	writeQueue  = 512              // messages that may wait for a connection
 	writeWithin = 2 * time.Second  // a write that takes longer ends the connection
 	writeBuffer = 16 << 10         // messages that wait are written together, up to this
+	drainWithin = time.Second      // how long a peer that was told off may go on sending
+	drainMost   = 1 << 20          // and how much
 	keepProbe   = 15 * time.Second // TCP keep-alive, so that a peer that vanished is noticed
 )
 
@@ -92,6 +95,7 @@
 	queue chan []byte
 	end   chan struct{}
 	once  sync.Once
+	half  atomic.Bool // Finish leaves the connection open for reading
 }
 
 // NewWriter returns a Writer on conn and starts its goroutine, which ends with Close.
@@ -122,10 +126,8 @@
 
 // Close ends the connection: its reader sees an error and reports what the end means.
 func (w *Writer) Close() {
-	w.once.Do(func() {
-		close(w.end)
-		w.conn.Close()
-	})
+	w.once.Do(func() { close(w.end) })
+	w.conn.Close()
 }
 
 // Finish writes what is queued, then ends the connection.
@@ -137,9 +139,33 @@
 	}
 }
 
+// Part writes what is queued, ends the writing half, and closes the connection once the peer has had time to
+// read that: what it still sends is read and dropped for a while. Were the connection closed at once, the
+// peer's system would be told of a reset, and could drop the last answer unread. The caller of Part must have
+// ended its own reading.
+func (w *Writer) Part() {
+	w.half.Store(true)
+	w.Finish()
+	if w.conn.SetReadDeadline(time.Now().Add(drainWithin)) == nil {
+		_, _ = io.CopyN(io.Discard, w.conn, drainMost) // whatever ends it
+	}
+	w.Close()
+}
+
+// hangUp ends the writing half where Part asked for that, else the connection.
+func (w *Writer) hangUp() {
+	if t, ok := w.conn.(interface{ CloseWrite() error }); ok && w.half.Load() {
+		w.once.Do(func() { close(w.end) })
+		if t.CloseWrite() == nil {
+			return
+		}
+	}
+	w.Close()
+}
+
 // run writes what is queued, joining messages that wait.
 func (w *Writer) run() {
-	defer w.Close()
+	defer w.hangUp()
 	buf := make([]byte, 0, 1024)
 	for {
 		var m []byte
