--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -73,7 +73,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	merge := &directory.Merge{}
-	links := &trunks{Pool: corelink.New(ctx, conf.settings.ConnectTimeout, log)}
+	links := &trunks{Pool: corelink.New(ctx, corelink.Config{Within: conf.settings.ConnectTimeout, Log: log,
+		Lanes: lanes(conf.sockets), Origin: reader.Origin})}
 	links.m3ua = m3ua.NewClient(conf.m3ua, log, func(list []brookmux.Switch) { merge.Set("m3ua", brookmux.Full, list) })
 	var front *sipfront.Front
 	reports := make(chan core.Counts, 1)
@@ -156,6 +157,11 @@
 	return phase.To(lifecycle.Stopped)
 }
 
+// lanes is how many connections to each core the descriptors allow. The more there are, the fewer set-ups one
+// that fails takes with it. A core sends a group's state on four at most: three leave one for the time in which
+// a new connection takes the place of another.
+func lanes(sockets int) int { return max(1, min(3, sockets/64)) }
+
 // serveM3UA starts the second front.
 func serveM3UA(ctx context.Context, conf config, engine *core.Engine, links *trunks, peers int, log *slog.Logger,
 	failed chan<- error) error {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -85,6 +85,13 @@
 	Cause  Cause
 }
 
+// Loss is what became of the attempts or calls that a core lost.
+type Loss struct {
+	Cut     bool          // calls that stand are lost too
+	Before  time.Duration // those sent before this time only, on the engine's clock; 0 or less for all
+	Outcome Outcome
+}
+
 // Events take what is heard of the cores. *Engine is one.
 type Events interface {
 	// Answered tells that a call stands, with the core's description.
@@ -92,7 +99,9 @@
 	// Ended tells how a core ended an attempt, or a call that stood.
 	Ended(from brookmux.SwitchID, key string, o Outcome)
 	// Lost tells that what was open at a core is lost; see Engine.Lost.
-	Lost(at brookmux.SwitchID, keys []string, cut bool, o Outcome)
+	Lost(at brookmux.SwitchID, keys []string, l Loss)
 	// Reported hands on a core's report that belongs to no call.
 	Reported(from brookmux.SwitchID, r brookmux.Report, unasked bool)
+	// Ignored tells that a core sent something for a call that belongs to nothing.
+	Ignored(from brookmux.SwitchID, key, what string)
 }
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -41,9 +41,9 @@
 	})
 }
 
-// Lost takes word that what was open at a core is lost: set-ups on a connection that is over, or, with cut,
+// Lost takes word that what was open at a core is lost: set-ups on a connection that is over, or, with Cut,
 // calls that stood on a core that has died. An empty list of keys means every call there.
-func (e *Engine) Lost(at brookmux.SwitchID, keys []string, cut bool, o Outcome) {
+func (e *Engine) Lost(at brookmux.SwitchID, keys []string, l Loss) {
 	e.post(func() {
 		if keys == nil {
 			for k, c := range e.calls {
@@ -53,13 +53,21 @@
 			}
 		}
 		for _, k := range keys {
-			if c := e.calls[k]; c.has(at) && (cut || !c.out.stands) {
-				e.finishLeg(c, o)
+			if c := e.calls[k]; c.has(at) && (l.Cut || !c.out.stands) && (l.Before <= 0 || c.out.at < l.Before) {
+				e.finishLeg(c, l.Outcome)
 			}
 		}
 	})
 }
 
+// Ignored counts what a core sent beside what it owes: a second copy, or an answer that nobody asked for.
+func (e *Engine) Ignored(from brookmux.SwitchID, key, what string) {
+	e.post(func() {
+		e.counts.Ignored++
+		e.Config.Log.Debug("ignored", "core", from, "call", key, "what", what)
+	})
+}
+
 // finishLeg ends a call's open attempt and tells the module, which may send again or give the final answer.
 func (e *Engine) finishLeg(c *call, o Outcome) {
 	l := c.out
--- a/internal/corelink/message.go
+++ b/internal/corelink/message.go
@@ -25,8 +25,12 @@
 	sdp            []byte
 }
 
-// errNoObject tells that a line holds no JSON object with a type.
-var errNoObject = errors.New("line holds no object with a type")
+// errForm tells that a line holds JSON that is none of the messages.
+var errForm = errors.New("line holds no message")
+
+// kinds are the types of the messages that a core may send.
+var kinds = map[string]bool{"answer": true, "release": true, "released": true, "progress": true, "state": true,
+	"ping": true, "pong": true}
 
 // parse reads a line. The message shares nothing with it or with the parser.
 func parse(p *fastjson.Parser, line []byte) (message, error) {
@@ -37,10 +41,15 @@
 	m := message{kind: string(v.GetStringBytes("type")), id: string(v.GetStringBytes("id")),
 		cause: core.Cause(v.GetInt("cause")), report: settings.NoReport(),
 		sdp: append([]byte(nil), v.GetStringBytes("sdp")...)}
-	if m.kind == "" {
-		return message{}, errNoObject
-	}
 	fields := v.Get("fields")
+	switch {
+	case !kinds[m.kind], m.id == "", fields != nil && fields.Type() != fastjson.TypeObject:
+		return message{}, errForm
+	case m.kind == "answer" && (v.Get("sdp") == nil || v.Get("sdp").Type() != fastjson.TypeString):
+		return message{}, errForm // an answer without a description is not whole
+	case m.kind == "release" && (m.cause <= 0 || m.cause > 127):
+		return message{}, errForm
+	}
 	m.note = string(fields.GetStringBytes("note"))
 	readLoad(&m.report, string(fields.GetStringBytes("load")))
 	return m, nil
--- a/internal/m3ua/client.go
+++ b/internal/m3ua/client.go
@@ -117,7 +117,7 @@
 			l.group.release(c, core.TemporaryFailure, 0)
 		}
 		if len(keys) > 0 {
-			x.events.Lost(brookmux.SwitchID(l.ID), keys, false, lost)
+			x.events.Lost(brookmux.SwitchID(l.ID), keys, core.Loss{Outcome: lost})
 		}
 	}
 }
@@ -128,7 +128,7 @@
 	back := l.active
 	l.client.mu.Unlock()
 	if !back {
-		l.client.events.Lost(brookmux.SwitchID(l.ID), nil, true, lost)
+		l.client.events.Lost(brookmux.SwitchID(l.ID), nil, core.Loss{Cut: true, Outcome: lost})
 		l.group.releaseAll(core.TemporaryFailure)
 	}
 }
@@ -179,7 +179,7 @@
 	}
 	// The module has counted circuits as taken: the state of the group tells it that they are not.
 	o.Report = l.figures()
-	go x.events.Lost(to, []string{a.Key}, false, o)
+	go x.events.Lost(to, []string{a.Key}, core.Loss{Outcome: o})
 }
 
 // Release implements core.Trunks.
--- a/internal/playback/ledger.go
+++ b/internal/playback/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -113,11 +114,12 @@
 	}
 }
 
-// over books the end of a connection: attempts on it are reset, callers on it are owed nothing.
-func (l *ledger) over(actor string) {
+// over books the end of a connection: attempts on it are reset, callers on it are owed nothing. on tells which
+// of a core's connections has a call, nil where there is but one; now, whether the release wait runs from now on.
+func (l *ledger) over(actor string, on map[string]net.Conn, conn net.Conn, now bool) {
 	for call, core := range l.out {
-		if core == actor {
-			l.ended(actor, call, true)
+		if core == actor && (on == nil || on[call] == conn) {
+			l.ended(actor, call, now)
 		}
 	}
 	for k := range l.asked {
--- a/internal/playback/playback.go
+++ b/internal/playback/playback.go
@@ -11,10 +11,16 @@
 //	program    "stops" (it is told to), "exits" (without an error), "reloads" its configuration file, in which
 //	           the block's lines "OLD => NEW" have been replaced
 //
-// Verbs are sends, gets, gets after 300ms (since the last step, at least), closes, resets, refuses (closes and
-// accepts nothing more) and is closed. In what is got, <*> stands for any word, and <name> for one that is the
-// same wherever it stands; .. is any byte. The first lines name who is there, "cores 1 2", "m3ua 5", and may say how many
-// descriptors the program has, "sockets 12".
+// Verbs are sends, gets, gets after 300ms (since the last step, at least), closes, resets, refuses (resets all
+// and accepts nothing more) and is closed. In what is got, <*> stands for any word, and <name> for one that is the
+// same wherever it stands; .. is any byte.
+//
+// The program has several connections to a core. What it sends on any of them is got; what the core sends of a
+// call goes out on that of its set-up, unless it "sends on" another call's. Below closes, resets and is closed
+// stands the call whose connection is meant, else it is that of the last message.
+//
+// The first lines name who is there, "cores 1 2", "m3ua 5", and may say how many descriptors the program has,
+// "sockets 12".
 //
 // When the steps are over the program is stopped. Nothing that no step expected may have arrived by then,
 // and the ledger of all that was seen must keep the rules.
@@ -31,6 +37,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,6 +46,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fastjson"
 	"golang.org/x/net/dns/dnsmessage"
 )
 
@@ -93,6 +101,22 @@
 	conns      chan net.Conn
 	conn       net.Conn
 	r          *bufio.Reader
+
+	// Of a core, to which the program has several connections:
+	lines  chan line           // what they bring
+	calls  map[string]net.Conn // the one that brought a call's set-up
+	ended  map[net.Conn]bool
+	closed chan struct{} // when nothing more is accepted
+	all    []net.Conn    // complete then
+
+	following sync.WaitGroup
+}
+
+// line is what a core's connection brought, or the end of the connection.
+type line struct {
+	text []byte
+	err  error
+	conn net.Conn
 }
 
 // play runs one file.
@@ -184,20 +208,35 @@
 func (s *stage) listen(name string) *actor {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err)
-	a := &actor{name: name, addr: l.Addr().String(), listener: l, conns: make(chan net.Conn, 64)}
+	a := &actor{name: name, addr: l.Addr().String(), listener: l, conns: make(chan net.Conn, 64),
+		lines: make(chan line, 1024), calls: map[string]net.Conn{}, ended: map[net.Conn]bool{}, closed: make(chan struct{})}
 	s.actors[name] = a
 	go func() {
+		defer close(a.closed)
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			a.conns <- c
+			a.all = append(a.all, c)
+			if a.conns <- c; name[0] == 'c' {
+				a.following.Go(func() { a.follow(c) })
+			}
 		}
 	}()
 	return a
 }
 
+// follow reads one of a core's connections to its end: the program may have several, and uses any of them.
+func (a *actor) follow(c net.Conn) {
+	for r := bufio.NewReaderSize(c, 1<<16); ; {
+		b, err := r.ReadBytes('\n')
+		if a.lines <- (line{b, err, c}); err != nil {
+			return
+		}
+	}
+}
+
 // step plays one step.
 func (s *stage) step(words []string, payload string) {
 	name, verb := words[0], strings.Join(words[1:], " ")
@@ -235,9 +274,12 @@
 func (s *stage) act(a *actor, verb, payload string) {
 	a.connect(s)
 	switch {
-	case verb == "sends":
+	case strings.HasPrefix(verb, "sends"):
 		b := a.encode(s, payload)
 		s.ledger.sent(a.name, b)
+		if a.name[0] == 'c' {
+			a.choose(strings.TrimPrefix(verb, "sends on "), jsonID(b))
+		}
 		_, err := a.conn.Write(b)
 		require.NoError(s.t, err)
 	case strings.HasPrefix(verb, "gets"):
@@ -249,18 +291,29 @@
 		s.ledger.got(a.name, got)
 		s.match(a, payload, got)
 	case verb == "is closed":
+		a.choose(a.text(s, payload))
 		got, err := a.read()
 		require.Error(s.t, err, "%s got %q", a.name, got)
+		s.ledger.over(a.name, a.calls, a.conn, false) // when the program closed it, nobody here can tell
 		a.conn = nil
 	case verb == "closes", verb == "resets", verb == "refuses":
+		a.choose(a.text(s, payload))
 		if verb == "refuses" {
 			a.listener.Close()
+			<-a.closed
+		}
+		conns := []net.Conn{a.conn}
+		if verb == "refuses" {
+			conns = slices.DeleteFunc(a.all, func(c net.Conn) bool { return a.ended[c] })
 		}
-		if t := a.conn.(*net.TCPConn); verb != "closes" {
-			require.NoError(s.t, t.SetLinger(0))
+		for _, c := range conns {
+			if verb != "closes" {
+				require.NoError(s.t, c.(*net.TCPConn).SetLinger(0))
+			}
+			s.ledger.over(a.name, a.calls, c, true)
+			a.ended[c] = true
+			c.Close()
 		}
-		s.ledger.over(a.name)
-		a.conn.Close()
 		a.conn = nil
 	default:
 		require.Fail(s.t, "unknown verb", "%s %s", a.name, verb)
@@ -271,7 +324,7 @@
 func (s *stage) actor(name string) *actor {
 	if s.actors[name] == nil {
 		require.NotContains(s.t, "cx", name[:1], "%s is not at the top of the file", name)
-		s.actors[name] = &actor{name: name}
+		s.actors[name] = &actor{name: name, ended: map[net.Conn]bool{}}
 	}
 	return s.actors[name]
 }
@@ -282,10 +335,12 @@
 		return
 	}
 	if a.listener != nil {
-		select {
-		case a.conn = <-a.conns:
-		case <-time.After(patience):
-			require.Fail(s.t, "no connection", "%s\n%s", a.name, s.log)
+		for a.conn == nil || a.ended[a.conn] {
+			select {
+			case a.conn = <-a.conns:
+			case <-time.After(patience):
+				require.Fail(s.t, "no connection", "%s\n%s", a.name, s.log)
+			}
 		}
 	} else {
 		front := "sip listens"
@@ -301,11 +356,59 @@
 
 func (a *actor) hex() bool { return a.name[0] == 'p' || a.name[0] == 'x' }
 
-// encode turns a payload into bytes.
-func (a *actor) encode(s *stage, payload string) []byte {
+// readLine reads a core's next message, from whichever connection, or the end of the present one.
+func (a *actor) readLine() ([]byte, error) {
+	for {
+		select {
+		case l := <-a.lines:
+			if l.err == nil {
+				a.conn = l.conn
+				a.calls[jsonID(l.text)] = l.conn
+				return l.text, nil
+			}
+			if a.ended[l.conn] = true; l.conn == a.conn {
+				return nil, l.err
+			}
+		case <-time.After(patience):
+			return nil, os.ErrDeadlineExceeded
+		}
+	}
+}
+
+// rest returns what a core was sent beside what the steps expected, once the program has ended.
+func (a *actor) rest() string {
+	a.listener.Close()
+	<-a.closed
+	a.following.Wait()
+	close(a.lines)
+	var out strings.Builder
+	for l := range a.lines {
+		out.Write(l.text)
+	}
+	return out.String()
+}
+
+// text puts the words into a payload.
+func (a *actor) text(s *stage, payload string) string {
 	for k, v := range s.words {
 		payload = strings.ReplaceAll(payload, "<"+k+">", v)
 	}
+	return payload
+}
+
+// choose makes the connection of the first of these calls that has one the present one.
+func (a *actor) choose(calls ...string) {
+	for _, k := range calls {
+		if a.calls[k] != nil {
+			a.conn = a.calls[k]
+			return
+		}
+	}
+}
+
+// encode turns a payload into bytes.
+func (a *actor) encode(s *stage, payload string) []byte {
+	payload = a.text(s, payload)
 	switch {
 	case a.hex():
 		b, err := hex.DecodeString(plainHex(payload))
@@ -320,6 +423,9 @@
 	return []byte(strings.ReplaceAll(head, "\n", "\r\n") + "\r\n\r\n" + body)
 }
 
+// jsonID reads the call that a core's message is of.
+func jsonID(b []byte) string { return fastjson.GetString(b, "id") }
+
 // plainHex strips comments and blanks.
 func plainHex(payload string) string {
 	var b strings.Builder
@@ -345,7 +451,7 @@
 		_, err = io.ReadFull(a.r, b)
 		return b, err
 	case a.name[0] == 'c':
-		return a.r.ReadBytes('\n')
+		return a.readLine()
 	}
 	var raw bytes.Buffer
 	for n := 0; ; {
@@ -404,7 +510,9 @@
 	}
 	require.NoError(s.t, s.process.Wait(), "%s", s.log)
 	for _, a := range s.actors {
-		if a.conn != nil {
+		if a.name[0] == 'c' {
+			require.Empty(s.t, a.rest(), "%s got more than the steps say", a.name)
+		} else if a.conn != nil {
 			b, _ := io.ReadAll(a.r) // the program has ended: this ends too, cleanly or not
 			require.Empty(s.t, string(b), "%s got more than the steps say", a.name)
 		}
