Calls wait while the oldest set-up under way is late; gates are set three times a period

A probe that logged gates, rates and waits second by second showed two causes. And the node with the slow processor keeps own per-call work at 0.18 after the trouble is over, though a period's calls at that figure would be more than a period's work and no line shows.

At fault: controller.go, usable (looks at restUntil and expected delay only), setGates (once a second), rescale.

Now a call is held, as one that finds no circuit is, while the oldest direct set-up under way to its exchange has waited longer than the target; each answer lets the next out. Gates are set every third of a period, rates still close once a period. Where no line shows, a period's calls are at most a period's work.

--- a/controller.go
+++ b/controller.go
@@ -14,7 +14,8 @@
 
 // The tuned values, with their reasons.
 const (
-	period  = time.Second // between two settings of the gates; the paper's 5 s outlast whole bursts
+	period  = time.Second // between two closings of the rates; the paper's 5 s outlast whole bursts
+	resets  = 3           // settings of the gates in a period: far reports are news within less than one
 	spans   = 5           // periods averaged for a rate (paper, appendix A)
 	ceiling = 0.95        // a processor's load that gates aim at (paper, 2.3)
 
@@ -26,7 +27,9 @@
 	linePart   = 3               // a wait over this part of the target is a line that does not empty
 	lineFall   = 0.5             // least that a processor with a line is taken to have been given in a period
 	scaleDown  = 0.85            // a period's fall of the per-call work while gates bind and delays are small
-	mixShare   = 0.02            // weight of one call in the mean width and length
+	mixShare   = 0.02            // weight of one call in the mean width, length and worth
+
+	worthier = 1.5 // times the mean worth: such a call is not held before a line
 
 	reserveLeast = 2.0  // circuits kept for direct calls (design)
 	blockShare   = 0.05 // weight of one call in the share of direct calls blocked
@@ -160,9 +163,11 @@
 	bound          time.Duration              // a set-up that takes longer is unlikely to stand
 	lossy          time.Duration              // until then answers are taken to get lost
 	length         time.Duration              // mean length of a call
+	mean           float64                    // mean worth of the calls offered
 	worth          []worthTally               // what calls offered were worth
 	redials        map[caller][]time.Duration // first tries of calls that may be dialled again
 	waiting        []*pending                 // for a circuit
+	turn           int                        // of the settings of the gates in a period
 	started, spent bool                       // the first timer is set; no budget was left for own calls
 }
 
@@ -317,7 +322,7 @@
 	c.hear(now)
 	switch {
 	case token == periodToken:
-		c.host.SetTimer(period, periodToken)
+		c.host.SetTimer(period/resets, periodToken)
 		c.setGates(now)
 	case token == followToken:
 		c.host.Follow()
@@ -339,21 +344,12 @@
 	}
 }
 
-// setGates closes a period: new rates, budgets and gates.
+// setGates sets the gates anew, with the rates of the periods that are over.
 func (c *Controller) setGates(now time.Duration) {
-	for _, e := range c.exchanges {
-		e.incoming.now = max(0, e.size-max(0, e.free)-e.ours) / c.width / c.length.Seconds() * period.Seconds()
-		for _, t := range []*tally{&e.offered, &e.admitted, &e.incoming, &e.transit} {
-			t.roll()
-		}
-		e.blocking *= blockFade
-	}
-	c.looks.roll()
-	for i := range c.worth {
-		c.worth[i].roll()
+	if c.turn == 0 {
+		c.closePeriod(now)
 	}
-	c.forgetRedials(now)
-	c.rescale(now)
+	c.turn = (c.turn + 1) % resets
 	own := c.ownBudget(now)
 	if c.spent != (own <= 0) {
 		c.spent = own <= 0
@@ -364,9 +360,6 @@
 		if rate := e.offered.rate(); e != c.self {
 			limits = append(limits, limit{e, rate, min(c.farLimit(now, e, rate), c.coldShare(now, e))})
 		}
-		if c.set.Probes && e.offered.past[0] > 0 && c.set.Reports != ReportsNone && e != c.self && e.at != nil {
-			c.host.Probe(e.at.ID)
-		}
 	}
 	fill(own/max(1e-6, c.scale*outWork[0]/1000), limits)
 	for _, p := range slices.Clone(c.waiting) {
@@ -378,6 +371,26 @@
 	}
 }
 
+// closePeriod takes the rates of the period that ends.
+func (c *Controller) closePeriod(now time.Duration) {
+	for _, e := range c.exchanges {
+		e.incoming.now = max(0, e.size-max(0, e.free)-e.ours) / c.width / c.length.Seconds() * period.Seconds()
+		for _, t := range []*tally{&e.offered, &e.admitted, &e.incoming, &e.transit} {
+			t.roll()
+		}
+		e.blocking *= blockFade
+		if c.set.Probes && e.offered.past[0] > 0 && c.set.Reports != ReportsNone && e != c.self && e.at != nil {
+			c.host.Probe(e.at.ID)
+		}
+	}
+	c.looks.roll()
+	for i := range c.worth {
+		c.worth[i].roll()
+	}
+	c.forgetRedials(now)
+	c.rescale(now)
+}
+
 // rescale sets the per-call work by the own processor's wait, which shows in the set-up delays to all
 // destinations: in the least of them. With a line at both ends of a period the processor was always busy:
 // what came is a period's work and what the line grew by. Until a line has shown, gates are open.
@@ -400,7 +413,7 @@
 		}
 		c.scale += scaleShare * (found - c.scale)
 	} else if bound && wait < line {
-		c.scale *= scaleDown
+		c.scale = min(c.scale*scaleDown, 1/max(1e-6, own+others)) // what came was done within the period
 	}
 	c.ownWait = wait
 }
@@ -412,14 +425,28 @@
 	if ok {
 		w = e.delay - c.least
 	}
+	if age, under := c.oldest(now, e); under && age > w {
+		return age, true
+	}
+	return w, ok
+}
+
+// oldest is how long, in ms, the oldest direct set-up under way to an exchange waits beyond the least seen.
+func (c *Controller) oldest(now time.Duration, e *exchange) (float64, bool) {
 	// One that a later one has overtaken was lost: it tells nothing of a line.
 	i := slices.IndexFunc(e.underWay, func(sent time.Duration) bool { return sent > e.answered })
-	if i >= 0 && c.least > 0 {
-		if age := float64((now-e.underWay[i])/time.Millisecond) - c.least; age > w {
-			w, ok = age, true
-		}
+	if i < 0 || c.least <= 0 {
+		return 0, false
 	}
-	return w, ok
+	return float64((now-e.underWay[i])/time.Millisecond) - c.least, true
+}
+
+// pressed tells whether set-ups to an exchange wait longer than wanted, by the oldest under way. Gates tell
+// later, and until then every set-up sent makes the line longer; now each answer lets the next one out. Calls
+// worth more than most go on, and calls in transit, which have cost their work.
+func (c *Controller) pressed(now time.Duration, p *pending, e *exchange) bool {
+	age, ok := c.oldest(now, e)
+	return ok && age > c.target && !p.Transit && p.worth < worthier*c.mean
 }
 
 // load is the work of own calls that start and of all others at the own processor, in the paper's figures.
@@ -564,6 +591,7 @@
 	p.first -= min(c.gap, c.patience[k.Class]-left)
 	c.recognise(now, p)
 	p.worth = c.value(now, p)
+	c.mean += mixShare * (p.worth - c.mean)
 	c.enter(now, p)
 }
 
@@ -686,7 +714,7 @@
 // usable tells whether a set-up of a call may go to an exchange now, and can stand before its caller leaves.
 func (c *Controller) usable(now time.Duration, p *pending, e *exchange) bool {
 	return e != c.self && e.at != nil && now >= e.restUntil && c.repeats(now, p, e.at) &&
-		now+c.expected(now, e) < p.Expires
+		!c.pressed(now, p, e) && now+c.expected(now, e) < p.Expires
 }
 
 // fits tells whether an exchange can be a call's tandem now: warm, rested, with room beyond the reserve.
