A call that is over before its answer was heard is answered, not set up again

A probe of the links and the front showed each of them: set-up, no answer, a release with cause 16 some time before the set-up's time was up (the answer was lost, or came 2.5 s late), 300 ms later a second set-up under the same id, which stood; its caller heard of an end more than 1 s after the first one. Ruled out: releases lost on dead connections (none in that log), callers' connections (all BYEs left at once).

At fault: core/relay.go finishLeg took every normal clearing before the answer as a time-out, which the module follows with another set-up. That holds only for a core that gives a set-up up at the end of its time.

Now only a clearing within 50 ms of that end is a time-out; any other ends the call with a refusal at once.

--- a/controller.go
+++ b/controller.go
@@ -839,6 +839,7 @@
 	c.release(p)
 	c.judge(now, p, a, o)
 	if o.Over || o.Result == ResultOK {
+		c.unserved(p) // where it is over and its answer was never heard
 		c.drop(p)
 		return
 	}
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -12,11 +12,11 @@
 
 // Counts are totals since the start.
 type Counts struct {
-	Taken, Repeated, Unfit, Full, Withdrawn, CallerLost int
-	Stood, Refused, Failed                              int
-	Sent, LateAnswers, Ignored, Strays, HungUp, Cut     int
-	Results                                             [8]int // of attempts that did not stand, by brookmux.Result
-	Guards                                              int
+	Taken, Repeated, Unfit, Full, Withdrawn, CallerLost      int
+	Stood, Refused, Failed                                   int
+	Sent, LateAnswers, Unheard, Ignored, Strays, HungUp, Cut int
+	Results                                                  [8]int // of attempts that did not stand, by brookmux.Result
+	Guards                                                   int
 }
 
 // outcome counts the end of an attempt.
@@ -90,7 +90,7 @@
 	n := e.counts
 	e.Config.Log.Info("counts", "taken", n.Taken, "open", e.open, "table", len(e.calls), "stood", n.Stood,
 		"refused", n.Refused, "failed", n.Failed, "withdrawn", n.Withdrawn, "callers_lost", n.CallerLost,
-		"repeated", n.Repeated, "unfit", n.Unfit, "full", n.Full, "sent", n.Sent, "late_answers", n.LateAnswers, "ignored", n.Ignored, "strays", n.Strays,
+		"repeated", n.Repeated, "unfit", n.Unfit, "full", n.Full, "sent", n.Sent, "late_answers", n.LateAnswers, "unheard", n.Unheard, "ignored", n.Ignored, "strays", n.Strays,
 		"cut", n.Cut, "hung_up", n.HungUp, "guards", n.Guards, slog.Group("results",
 			"error", n.Results[brookmux.ResultError], "full", n.Results[brookmux.ResultFull],
 			"timeout", n.Results[brookmux.ResultTimeout], "connect", n.Results[brookmux.ResultConnectFailed],
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -1,6 +1,13 @@
 package core
 
-import "brookmux"
+import (
+	"time"
+
+	"brookmux"
+)
+
+// ownTime is how close to the end of a set-up's time its core may find that this is over.
+const ownTime = 50 * time.Millisecond
 
 // Answered takes a core's word that a call stands, with its description, and relays it.
 func (e *Engine) Answered(from brookmux.SwitchID, key string, description []byte, r brookmux.Report) {
@@ -71,11 +78,12 @@
 // finishLeg ends a call's open attempt and tells the module, which may send again or give the final answer.
 func (e *Engine) finishLeg(c *call, o Outcome) {
 	l := c.out
-	if o.Result == brookmux.ResultOK && !l.stands {
+	unheard := o.Result == brookmux.ResultOK && !l.stands
+	if unheard && l.timeout.at-e.now <= ownTime {
 		// A core that gives a set-up up at the end of its time says so with a normal clearing, often just
 		// before our own timer. To the module an end is no end of a call that never stood: it would wait
 		// for ever, and the caller with it.
-		o.Result = brookmux.ResultTimeout
+		o.Result, unheard = brookmux.ResultTimeout, false
 	}
 	l.timeout.stop()
 	c.out, c.last = nil, o.Result
@@ -90,11 +98,23 @@
 	}
 	e.ctl.Ended(e.now, brookmux.Outcome{Call: c.id, Attempt: l.number, Switch: l.to, Result: o.Result,
 		Reason: o.Reason, Took: e.now - l.at, Over: l.stands, Report: o.Report})
-	if l.stands {
+	switch {
+	case l.stands:
 		e.close(c)
+	case unheard:
+		// The call stood, its answer was lost or is late, and it has come to its end. Whatever was made of it
+		// by another set-up would be a second call under its id: the caller is told now.
+		e.counts.Unheard++
+		e.refuse(c, Verdict{Failed: !e.harmless(c), Cause: TemporaryFailure, Why: "over before its answer was heard"})
 	}
 }
 
+// harmless tells whether a call that may have run may be asked for again.
+func (e *Engine) harmless(c *call) bool {
+	k := e.Settings.Module.Classes[e.classes[c.Class]]
+	return k.Effect == brookmux.Safe || k.Effect == brookmux.Keyed && k.Group == brookmux.ScopeAll
+}
+
 // refuse gives the final answer that a call does not stand.
 func (e *Engine) refuse(c *call, v Verdict) {
 	if c.answered {
