A group's state counts from one connection of its core only

A probe of the links showed each state three times, once a connection; the module sent a call into the one free circuit that the first copy told of, and the second copy freed it again in its books. Ruled out: circuits of calls that are over (states follow each end within a millisecond).

At fault: internal/corelink/link.go took the state of every connection as news.

Now one connection leads until it is over, then the one heard last that has said a state. Reports that ride on answers of other connections keep all but the free circuits.

--- a/internal/corelink/link.go
+++ b/internal/corelink/link.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fastjson"
 
+	"brookmux"
 	"brookmux/internal/core"
 	"brookmux/internal/stream"
 )
@@ -21,9 +22,10 @@
 	conn  net.Conn
 	open  map[string]struct{}
 	up    time.Time
-	heard time.Time // when it last brought a message
-	mark  int       // of those that its core had sent by then, on any connection
-	asked time.Time // when something was first sent after that, zero if nothing was
+	heard time.Time        // when it last brought a message
+	mark  int              // of those that its core had sent by then, on any connection
+	state *brookmux.Report // of the group, as it was last said here
+	asked time.Time        // when something was first sent after that, zero if nothing was
 }
 
 // better tells whether a set-up had rather go here: not where an answer is overdue, then where fewest are open.
@@ -85,7 +87,8 @@
 	l.Close()
 
 	x.pool.mu.Lock()
-	delete(x.links, l)
+	x.remove(l)
+	state := x.follow()
 	if len(x.links) == 0 {
 		x.lostAt = time.Now()
 	}
@@ -97,6 +100,9 @@
 	if ctx.Err() == nil {
 		x.pool.Log.Info("core connection over", "core", x.ID, "open", len(open), "error", err)
 	}
+	if state != nil {
+		x.pool.events.Reported(x.ID, *state, true)
+	}
 	if len(open) > 0 {
 		x.pool.events.Lost(x.ID, open, core.Loss{Outcome: lost})
 	}
@@ -148,6 +154,12 @@
 	if m.kind == "answer" || m.kind == "release" {
 		delete(l.open, m.id)
 	}
+	news := m.kind == "state" && x.leads(l)
+	if m.kind == "state" {
+		l.state = &m.report
+	} else if x.lead != nil && x.lead != l {
+		m.report.Free = brookmux.Absent // as old as a state would be; the rest is as good as on any
+	}
 	x.pool.mu.Unlock()
 	switch {
 	case m.kind == "answer" && own:
@@ -158,7 +170,7 @@
 		x.pool.events.Ignored(x.ID, m.id, "release of a set-up of another connection")
 	case m.kind == "release":
 		x.pool.events.Ended(x.ID, m.id, m.outcome())
-	case m.kind == "state":
+	case news:
 		x.pool.events.Reported(x.ID, m.report, true)
 	case m.kind == "ping":
 		l.Send(causeLine("pong", m.id, 1))
--- a/internal/corelink/peer.go
+++ b/internal/corelink/peer.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"brookmux"
 	"brookmux/internal/core"
 )
 
@@ -34,6 +35,7 @@
 	releases []held         // for the next connection
 	lostAt   time.Time      // when the last connection ended, zero once calls there were cut
 	heard    int            // messages that came on all connections
+	lead     *link          // whose word on the group counts
 	replaced time.Time      // when a connection was last ended without another to compare it with
 }
 
@@ -136,14 +138,48 @@
 	x.end(quietest, "silent")
 }
 
+// leads tells whether a state of the group that came on a connection is news. A core says the same on each of
+// them: the second copy is older than what was made of the first, and would free a circuit that is taken by now.
+// One connection leads until it is over. The lock is held.
+func (x *peer) leads(l *link) bool {
+	if x.lead == nil {
+		x.lead = l
+	}
+	return x.lead == l
+}
+
+// follow chooses the next connection to lead, the one heard last, and returns what it said of the group, or nil.
+// The lock is held.
+func (x *peer) follow() *brookmux.Report {
+	if x.lead != nil {
+		return nil
+	}
+	for l := range x.links {
+		if l.state != nil && (x.lead == nil || l.heard.After(x.lead.heard)) {
+			x.lead = l
+		}
+	}
+	if x.lead == nil {
+		return nil
+	}
+	return x.lead.state
+}
+
 // end closes a connection of no use. Its reader reports what was open there. The lock is held.
 func (x *peer) end(l *link, why string) {
 	x.pool.Log.Warn("core connection of no use", "core", x.ID, "why", why, "open", len(l.open),
 		"silent", time.Since(l.heard))
-	delete(x.links, l) // nothing more is sent there
+	x.remove(l) // nothing more is sent there
 	l.Close()
 }
 
+// remove takes a connection off. The lock is held.
+func (x *peer) remove(l *link) {
+	if delete(x.links, l); x.lead == l {
+		x.lead = nil
+	}
+}
+
 // run keeps one lane to the peer connected until its context ends.
 func (x *peer) run(ctx context.Context) {
 	pause := redialLeast
--- a/internal/playback/playback.go
+++ b/internal/playback/playback.go
@@ -278,7 +278,7 @@
 		b := a.encode(s, payload)
 		s.ledger.sent(a.name, b)
 		if a.name[0] == 'c' {
-			a.choose(strings.TrimPrefix(verb, "sends on "), jsonID(b))
+			a.choose(a.text(s, strings.TrimPrefix(verb, "sends on ")), jsonID(b))
 		}
 		_, err := a.conn.Write(b)
 		require.NoError(s.t, err)
