Cores that are gone are forgotten; tests turn over thousands of ids

Ids of calls that were over and numbers that may be dialled again had an end of life and no bound.

At fault: controller.go Members and settle, core/engine.go Listed, core/book.go remember.

Now what the list does not name is dropped, a new machine starts without a report, ids and redials are bounded.

--- a/controller.go
+++ b/controller.go
@@ -43,6 +43,7 @@
 	leastSetUp   = 20 * time.Millisecond  // no attempt is worth making with less time left
 	boundOver    = 3                      // mean set-up delays that most set-ups take at most
 	fallSafe     = 2                      // a cold processor is sent its part of this multiple
+	mostRedials  = 8192                   // numbers remembered at a time
 	askAgain     = 500 * time.Millisecond // after a failed call to discovery
 )
 
@@ -240,13 +241,13 @@
 		return
 	}
 	if m.Kind != Delta {
-		for _, x := range c.machines {
-			x.State = Gone
-		}
+		clear(c.machines)
 	}
 	for _, s := range m.Switches {
-		c.machines[s.ID] = &s
 		c.exchange(s.Number)
+		if c.machines[s.ID] = &s; s.State == Gone { // another will come under another ID
+			delete(c.machines, s.ID)
+		}
 	}
 	c.settle(now)
 }
@@ -265,6 +266,7 @@
 		e.at = best[e.number]
 		if e.at != nil && (was == nil || was.ID != e.at.ID || was.Since != e.at.Since) {
 			e.unanswered, e.restUntil = 0, 0
+			e.report, e.reported = Report{Absent, Absent, Absent, Absent, Absent, Absent, Absent, Absent}, 0
 		}
 		e.gate = min(e.gate, c.coldShare(now, e))
 	}
@@ -632,7 +634,8 @@
 
 // unserved remembers a call that its caller may dial again.
 func (c *Controller) unserved(p *pending) {
-	if k := (caller{p.Number, p.Call.Class, p.Tenant, p.Destination}); !p.Transit && !p.stands && p.Number != 0 {
+	k := caller{p.Number, p.Call.Class, p.Tenant, p.Destination}
+	if !p.Transit && !p.stands && p.Number != 0 && len(c.redials) < mostRedials {
 		c.redials[k] = append(c.redials[k], p.first)
 	}
 }
--- a/controller_test.go
+++ b/controller_test.go
@@ -879,6 +879,43 @@
 	}
 }
 
+// TestTurnover: machines that come and go, each under an ID of its own, and callers that never come back leave
+// nothing behind, and a machine's report does not pass on to the one that takes its place.
+func TestTurnover(t *testing.T) {
+	c, _ := start(t, mesh())
+	now := second
+	for i := range 20_000 {
+		now += 10 * time.Millisecond
+		id := SwitchID(1000 + i)
+		if i%2 == 0 {
+			c.Members(now, Members{Kind: Full, Switches: []Switch{{ID: id, Number: 1, State: Ready, Since: now}}})
+		} else {
+			gone := Switch{ID: id - 1, Number: 1, State: Gone}
+			c.Members(now, Members{Kind: Delta, Switches: []Switch{gone, {ID: id, Number: 1, State: Ready, Since: now}}})
+		}
+		if r := c.exchange(1).report; known(r.Wait) {
+			t.Fatalf("a new machine has a report: %v", r)
+		}
+		busy := nothing()
+		busy.Wait = 100
+		c.Probed(now, ProbeResult{Switch: id, OK: true, Report: busy})
+		c.Offered(now, dial(CallID(10+i), 1, now))
+		c.Left(now, CallID(10+i))
+		if i%100 == 0 {
+			c.Timer(now, periodToken)
+		}
+	}
+	for name, n := range map[string]int{"machines": len(c.machines), "exchanges": len(c.exchanges),
+		"calls": len(c.calls), "waiting": len(c.waiting), "under way": len(c.exchange(1).underWay)} {
+		if n > 8 {
+			t.Errorf("%d %s are kept", n, name)
+		}
+	}
+	if n := len(c.redials); n > 1100 { // those of a caller's 9 s, a hundred a second
+		t.Errorf("%d redials are kept", n)
+	}
+}
+
 // TestRandomEvents plays random but legal events and checks rules 1, 2, 3 and 5 after each, and that the same
 // events give the same actions.
 func TestRandomEvents(t *testing.T) {
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -53,7 +53,12 @@
 }
 
 // remember keeps the key of a call that is over, so that what still arrives for it is known to be late.
-func (e *Engine) remember(key string) { e.recent[0][key] = struct{}{} }
+func (e *Engine) remember(key string) {
+	if len(e.recent[0]) >= mostRecent { // sooner than its time: a day has a bound on memory, not on calls
+		e.recent[0], e.recent[1] = map[string]struct{}{}, e.recent[0]
+	}
+	e.recent[0][key] = struct{}{}
+}
 
 // ended tells whether a call was over not long ago.
 func (e *Engine) ended(key string) bool {
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -19,6 +19,7 @@
 	guardLate     = 10 * time.Millisecond  // the guard on the deadline waits for the module this long
 	releaseMargin = 20 * time.Millisecond  // on the wait after a timeout, reset or cancel: peers may read late
 	recentSpan    = 30 * time.Second       // ended calls are remembered for one to two of these
+	mostRecent    = 16384                  // and so many in each
 	drainLeast    = 800 * time.Millisecond // requests go on coming for up to 600 ms after SIGTERM, and are read late
 	countsEvery   = 10 * time.Second
 )
@@ -202,13 +203,12 @@
 func (e *Engine) Listed(m brookmux.Members) {
 	e.post(func() {
 		if m.Kind != brookmux.Delta {
-			for id, s := range e.switches {
-				s.State = brookmux.Gone
-				e.switches[id] = s
-			}
+			clear(e.switches)
 		}
 		for _, s := range m.Switches {
-			e.switches[s.ID] = s
+			if e.switches[s.ID] = s; s.State == brookmux.Gone {
+				delete(e.switches, s.ID)
+			}
 			e.numbers[s.Number] = true
 		}
 		e.ctl.Members(e.now, m)
--- a/internal/corelink/pool.go
+++ b/internal/corelink/pool.go
@@ -36,7 +36,8 @@
 
 	mu    sync.Mutex
 	peers map[brookmux.SwitchID]*peer
-	wg    sync.WaitGroup
+	lanes sync.WaitGroup // a goroutine for each
+	watch sync.WaitGroup
 }
 
 // New returns a Pool without cores, whose connections end with the context.
@@ -51,11 +52,11 @@
 // Serve names who takes the events and starts to watch the connections; it is called once, before Update.
 func (p *Pool) Serve(events core.Events) {
 	p.events = events
-	p.wg.Go(p.watch)
+	p.watch.Go(p.weed)
 }
 
-// watch looks for connections that are open and of no use, until the context ends.
-func (p *Pool) watch() {
+// weed looks for connections that are open and of no use, until the context ends.
+func (p *Pool) weed() {
 	tick := time.NewTicker(watchEvery)
 	defer tick.Stop()
 	for {
@@ -130,12 +131,15 @@
 	x := &peer{Core: c, pool: p, cancel: cancel, wake: make(chan struct{}, p.Lanes), links: map[*link]struct{}{}}
 	p.peers[c.ID] = x
 	for range p.Lanes {
-		p.wg.Go(func() { x.run(ctx) })
+		p.lanes.Go(func() { x.run(ctx) })
 	}
 }
 
 // Wait returns once all connections are over, after the context has ended.
-func (p *Pool) Wait() { p.wg.Wait() }
+func (p *Pool) Wait() {
+	p.lanes.Wait()
+	p.watch.Wait()
+}
 
 // SetUp implements core.Trunks.
 func (p *Pool) SetUp(to brookmux.SwitchID, a core.Attempt) {
