A new configuration takes effect as one change: settings, limits, address, name service

Now all of a file is checked, its ports opened and the module asked before anything changes; then settings, limits, address and name service change together. Classes keep their place by name, so calls under way go on. An M3UA set-up that names no time, or too long a one, gets its class's deadline from the core, as SIP's do.

--- a/api.go
+++ b/api.go
@@ -62,7 +62,7 @@
 	Pools     []int         // pools only: those it may go to; empty means any
 }
 
-// Settings are given once, at the start.
+// Settings are given at the start; Configure puts others in force.
 type Settings struct {
 	Instances     int  // controllers in service
 	Here          int  // own exchange's number, -1 with pools
--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -88,16 +88,12 @@
 	}
 	links.Serve(engine)
 	merge.Told = engine.Listed
-	// Callers get a third of the descriptors, on whichever front they come; a peer that comes back may hold
-	// two for a moment.
-	callers := conf.sockets / 3
-	peers := min(2*len(conf.m3ua.Peers), callers/2)
-	front = sipfront.New(engine, phase, callers-peers, log)
-	listener, err := net.Listen("tcp", conf.listen)
+	callers, peers := shares(conf.sockets, len(conf.m3ua.Peers))
+	front = sipfront.New(engine, phase, callers, log)
+	listener, err := listen(conf.listen, log)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
-	log.Info("sip listens", "address", listener.Addr().String())
 
 	failed := make(chan error, 5)
 	go func() { failed <- engine.Run(ctx) }()
@@ -112,7 +108,7 @@
 		return err
 	}
 	go func() { failed <- names.Run(ctx) }()
-	manager, err := openManager(conf.manage, manager{name: conf.name, log: log, level: level, engine: engine,
+	manager, err := openManager(conf.manage, &manager{name: conf.name, log: log, level: level, engine: engine,
 		front: front, most: conf.settings.MostHeld}, failed)
 	if err != nil {
 		return err
@@ -128,9 +124,19 @@
 	if err := phase.To(lifecycle.Ready); err != nil {
 		return err
 	}
-	go func() { failed <- front.Serve(ctx, listener) }()
-
-	reloader := &reloader{path: getenv("GW_CONFIG"), conf: conf.platform, reader: reader, names: names, log: log}
+	reloader := &reloader{path: getenv("GW_CONFIG"), listen: getenv("GW_LISTEN"), conf: conf.platform,
+		peers: len(conf.m3ua.Peers), reader: reader, names: names, engine: engine, links: links.Pool, front: front,
+		manager: manager, tune: tune, log: log}
+	reloader.serve = func(l net.Listener) {
+		serving, stop := context.WithCancel(ctx)
+		reloader.unserve = stop
+		go func() {
+			if err := front.Serve(serving, l); err != nil || ctx.Err() != nil {
+				failed <- err
+			}
+		}()
+	}
+	reloader.serve(listener)
 	for drained := (<-chan struct{})(nil); ; {
 		select {
 		case err := <-failed:
@@ -157,6 +163,24 @@
 	return phase.To(lifecycle.Stopped)
 }
 
+// listen opens the SIP front's port.
+func listen(address string, log *slog.Logger) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	log.Info("sip listens", "address", l.Addr().String())
+	return l, nil
+}
+
+// shares is how many descriptors SIP callers and M3UA peers get: a third of all together. A peer that comes back
+// may hold two for a moment.
+func shares(sockets, peers int) (sip, m3ua int) {
+	callers := sockets / 3
+	m3ua = min(2*peers, callers/2)
+	return callers - m3ua, m3ua
+}
+
 // lanes is how many connections to each core the descriptors allow. The more there are, the fewer set-ups one
 // that fails takes with it. A core sends a group's state on four at most: three leave one for the time in which
 // a new connection takes the place of another.
@@ -171,11 +195,7 @@
 			return fmt.Errorf("m3ua: listen: %w", err)
 		}
 		log.Info("m3ua listens", "address", l.Addr().String())
-		deadlines := map[string]time.Duration{}
-		for i, name := range conf.settings.ClassNames {
-			deadlines[name] = conf.settings.Module.Classes[i].Deadline
-		}
-		server := m3ua.NewServer(conf.m3ua, engine, deadlines, peers, log)
+		server := m3ua.NewServer(conf.m3ua, engine, peers, log)
 		go func() { failed <- server.Serve(ctx, l) }()
 	}
 	go links.m3ua.Run(ctx, engine)
--- a/cmd/brookmux/manage.go
+++ b/cmd/brookmux/manage.go
@@ -10,6 +10,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/openconfig/gnmi/proto/gnmi"
@@ -103,18 +104,29 @@
 	level  *slog.LevelVar
 	engine *core.Engine
 	front  *sipfront.Front
-	most   int // calls open at a time, by the settings
 	grpc   *grpc.Server
+
+	mu   sync.Mutex
+	most int // calls open at a time, by the settings; what is set by gNMI goes before it
+}
+
+// setMost takes what the settings say of the calls open at a time.
+func (m *manager) setMost(n int) {
+	m.mu.Lock()
+	m.most = n
+	m.mu.Unlock()
+	value, _ := m.store.Get(configPath + "max-open-calls")
+	m.effect("max-open-calls", value)
 }
 
 // openManager opens the store and, where the file says so, gNMI.
-func openManager(c manageConfig, m manager, failed chan<- error) (*manager, error) {
+func openManager(c manageConfig, m *manager, failed chan<- error) (*manager, error) {
 	var err error
 	if m.store, err = store.Open(store.Config{ID: m.name, Bind: c.Bind, Dir: c.Dir, Members: c.Members, Log: m.log}); err != nil {
 		return nil, err
 	}
 	if c.GNMI == "" {
-		return &m, nil
+		return m, nil
 	}
 	schema, err := mgmt.NewSchema()
 	if err != nil {
@@ -136,7 +148,7 @@
 			failed <- fmt.Errorf("gnmi: %w", err)
 		}
 	}()
-	return &m, nil
+	return m, nil
 }
 
 // follow lets the configuration take effect, now and at each change, until the context ends.
@@ -184,6 +196,8 @@
 			m.level.Set(slog.LevelInfo)
 		}
 	case "max-open-calls":
+		m.mu.Lock()
+		defer m.mu.Unlock()
 		if n == 0 {
 			n = m.most
 		}
--- a/controller.go
+++ b/controller.go
@@ -193,15 +193,10 @@
 	} else if err := s.check(); err != nil {
 		return nil, err
 	}
-	aim := s.Classes[0].Aim
-	for _, k := range s.Classes {
-		aim = min(aim, k.Aim)
-	}
 	c := &Controller{set: s, host: host, rng: rand.New(rand.NewPCG(seed, 1)), machines: map[SwitchID]*Switch{},
 		byNumber: map[int]*exchange{}, redials: map[caller][]time.Duration{}, calls: map[CallID]*pending{},
-		width: 1, shortest: math.Inf(1), patience: make([]time.Duration, len(s.Classes))}
-	c.set.Instances = max(1, s.Instances)
-	c.target = max(1, float64(aim/time.Millisecond)/delayPart)
+		width: 1, shortest: math.Inf(1)}
+	c.use(s)
 	c.length = max(time.Second, s.Classes[0].Hold)
 	if !s.Pools {
 		c.self = c.exchange(s.Here)
@@ -209,6 +204,30 @@
 	return c, nil
 }
 
+// use takes settings that were checked.
+func (c *Controller) use(s Settings) {
+	aim := s.Classes[0].Aim
+	for _, k := range s.Classes {
+		aim = min(aim, k.Aim)
+	}
+	c.set = s
+	c.set.Instances = max(1, s.Instances)
+	c.target = max(1, float64(aim/time.Millisecond)/delayPart)
+	c.patience = append(c.patience, make([]time.Duration, len(s.Classes)-len(c.patience))...)
+}
+
+// Configure puts other settings in force, or returns an error and changes nothing. Classes keep their places,
+// new ones come after them; calls that were offered before keep what they were offered with.
+func (c *Controller) Configure(s Settings) error {
+	if err := s.check(); err != nil {
+		return err
+	} else if s.Here != c.set.Here || s.Pools != c.set.Pools || len(s.Classes) < len(c.set.Classes) {
+		return errors.New("brookmux: Here, Pools and the places of Classes stay for good")
+	}
+	c.use(s)
+	return nil
+}
+
 // exchange returns the exchange of a number, made when first heard of.
 func (c *Controller) exchange(number int) *exchange {
 	if e := c.byNumber[number]; e != nil {
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -15,7 +15,7 @@
 	case !e.numbers[r.Destination]:
 		// The module keeps figures of each exchange it hears of: only the list may name them.
 		return "unknown destination"
-	case class < len(e.Settings.Widths) && r.Width != e.Settings.Widths[class]:
+	case class < len(e.Settings.Widths) && e.Settings.Widths[class] > 0 && r.Width != e.Settings.Widths[class]:
 		return "width is not that of the class"
 	}
 	return ""
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -29,7 +29,7 @@
 	Key         string        // names the call on every wire, passed on unchanged
 	Class       string        // as named in the settings
 	Number      string        // the number called, hex digits, passed on unchanged
-	Left        time.Duration // how long the caller waits from now on
+	Left        time.Duration // how long the caller waits from now on, 0 for as long as its class allows
 	Destination int
 	Width       float64
 	Via         int // where a call in transit comes from, or the advised tandem, or -1
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"runtime/debug"
@@ -49,24 +50,25 @@
 	now     time.Duration // of the event being handled
 	classes map[string]int
 
-	calls    map[string]*call
-	byID     map[brookmux.CallID]*call
-	lastID   brookmux.CallID
-	switches map[brookmux.SwitchID]brookmux.Switch
-	recent   [2]map[string]struct{}
-	loads    map[int]*load // by exchange
-	numbers  map[int]bool  // of the exchanges that were ever listed
-	open     int           // calls that are owed an answer
-	held     atomic.Int64  // bytes of the requests that are queued or owed an answer
-	strayAt  time.Duration // when the last hang-up of an unknown call was paid for
-	after    []func()
-	counts   Counts
-	drained  chan struct{}
-	drainAt  time.Duration
-	started  bool
-	most     int           // calls open at a time, 0 for any number
-	every    time.Duration // between two reports of the totals
-	reporter *timer
+	calls     map[string]*call
+	byID      map[brookmux.CallID]*call
+	lastID    brookmux.CallID
+	switches  map[brookmux.SwitchID]brookmux.Switch
+	recent    [2]map[string]struct{}
+	loads     map[int]*load // by exchange
+	numbers   map[int]bool  // of the exchanges that were ever listed
+	open      int           // calls that are owed an answer
+	mostBytes atomic.Int64  // of them, 0 for any number
+	held      atomic.Int64  // bytes of the requests that are queued or owed an answer
+	strayAt   time.Duration // when the last hang-up of an unknown call was paid for
+	after     []func()
+	counts    Counts
+	drained   chan struct{}
+	drainAt   time.Duration
+	started   bool
+	most      int           // calls open at a time, 0 for any number
+	every     time.Duration // between two reports of the totals
+	reporter  *timer
 }
 
 // New returns an Engine, or an error that names the setting it can't serve.
@@ -77,18 +79,53 @@
 		switches: map[brookmux.SwitchID]brookmux.Switch{}, drained: make(chan struct{}), loads: map[int]*load{},
 		numbers: map[int]bool{}}
 	e.recent = [2]map[string]struct{}{{}, {}}
-	for i, name := range c.Settings.ClassNames {
-		e.classes[name] = i
-	}
-	module := c.Settings.Module
-	module.ReleaseWait += releaseMargin
+	e.mostBytes.Store(c.MostBytes)
 	var err error
-	if e.ctl, err = brookmux.New(module, c.Seed, host{e}); err != nil {
+	if e.ctl, err = brookmux.New(withMargin(c.Settings.Module), c.Seed, host{e}); err != nil {
 		return nil, fmt.Errorf("core: %w", err)
 	}
+	e.name()
 	return e, nil
 }
 
+// withMargin is what the module is told: it waits a little longer than it has to.
+func withMargin(m brookmux.Settings) brookmux.Settings {
+	m.ReleaseWait += releaseMargin
+	return m
+}
+
+// name takes the names of the classes.
+func (e *Engine) name() {
+	clear(e.classes)
+	for i, name := range e.Settings.ClassNames {
+		if name != "" {
+			e.classes[name] = i
+		}
+	}
+}
+
+// Configure puts other settings in force, all of them between two events, or returns an error and changes
+// nothing. Calls under way go on with what they were taken with.
+func (e *Engine) Configure(s settings.Settings, mostBytes int64) error {
+	done := make(chan error, 1)
+	e.post(func() {
+		next := s.After(e.Settings)
+		err := e.ctl.Configure(withMargin(next.Module))
+		if err == nil {
+			e.Settings = next
+			e.name()
+			e.mostBytes.Store(mostBytes)
+		}
+		done <- err
+	})
+	select {
+	case err := <-done:
+		return err
+	case <-e.done:
+		return errors.New("core: has ended")
+	}
+}
+
 // post hands an event to the owner; readers wait here while the queue is full. After the owner has ended
 // nothing is taken any more, and nobody waits.
 func (e *Engine) post(f func()) {
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -18,9 +18,13 @@
 // memory was set aside for them.
 func (e *Engine) Offer(r Request) {
 	size := int64(len(r.Description) + beside)
-	if e.held.Add(size) > e.MostBytes && e.MostBytes > 0 {
+	if most := e.mostBytes.Load(); e.held.Add(size) > most && most > 0 {
 		e.held.Add(-size)
-		r.Caller.Refuse(r.Key, Verdict{Wait: e.Settings.Module.MaxRetryAfter, Cause: Congestion, Why: "out of memory"})
+		r.Description = nil
+		e.post(func() {
+			e.counts.Full++
+			r.Caller.Refuse(r.Key, Verdict{Wait: e.Settings.Module.MaxRetryAfter, Cause: Congestion, Why: "no memory"})
+		})
 		return
 	}
 	e.post(func() {
@@ -51,8 +55,8 @@
 		}
 	}
 	e.lastID++
-	if most := e.Settings.Module.Classes[e.classes[r.Class]].Deadline; most > 0 {
-		r.Left = min(r.Left, most)
+	if most := e.Settings.Module.Classes[e.classes[r.Class]].Deadline; r.Left <= 0 || most > 0 && r.Left > most {
+		r.Left = most
 	}
 	c := &call{Request: r, id: e.lastID, at: e.now, expires: e.now + r.Left - answerEarly, size: size}
 	e.calls[r.Key], e.byID[c.id] = c, c
--- a/internal/corelink/peer.go
+++ b/internal/corelink/peer.go
@@ -184,7 +184,7 @@
 func (x *peer) run(ctx context.Context) {
 	pause := redialLeast
 	for ctx.Err() == nil {
-		dialer := net.Dialer{Timeout: x.pool.Within}
+		dialer := net.Dialer{Timeout: x.pool.within()}
 		conn, err := dialer.DialContext(ctx, "tcp", x.Addr)
 		if err == nil {
 			if lived := x.serve(ctx, conn); lived > redialLeast {
--- a/internal/corelink/pool.go
+++ b/internal/corelink/pool.go
@@ -135,6 +135,23 @@
 	}
 }
 
+// SetWithin sets the time in which a connection must come up, from the next one on.
+func (p *Pool) SetWithin(d time.Duration) {
+	if d <= 0 {
+		d = defaultWithin
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Within = d
+}
+
+// within is the time in which a connection must come up.
+func (p *Pool) within() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Within
+}
+
 // Wait returns once all connections are over, after the context has ended.
 func (p *Pool) Wait() {
 	p.lanes.Wait()
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -36,8 +36,13 @@
 // NewService returns a Service that has a list of this number and asks at server. told gets each newer one,
 // one at a time.
 func NewService(r Reader, server string, serial uint32, log *slog.Logger, told func(List)) (*Service, error) {
-	s := &Service{reader: r, serial: serial, log: log, told: told}
-	return s, s.Move(server)
+	s := &Service{serial: serial, log: log, told: told}
+	conn, err := Dial(server)
+	if err != nil {
+		return nil, err
+	}
+	s.Move(conn, r)
+	return s, nil
 }
 
 // Check tells whether a name service can be asked at an address.
@@ -48,22 +53,27 @@
 	return nil
 }
 
-// Move asks at another address from now on. The list in hand and its number stay. What the old address may
-// still answer no longer counts: whoever has taken its place is not the name service.
-func (s *Service) Move(server string) error {
+// Dial opens the way to a name service.
+func Dial(server string) (net.Conn, error) {
 	conn, err := net.Dial("udp", server)
 	if err != nil {
-		return fmt.Errorf("directory: %w", err)
+		return nil, fmt.Errorf("directory: %w", err)
 	}
+	return conn, nil
+}
+
+// Move asks another address from now on, and reads its answers with another reader. The list in hand and its
+// number stay. What the old address may still answer no longer counts: whoever has taken its place is not the name
+// service.
+func (s *Service) Move(conn net.Conn, r Reader) {
 	s.mu.Lock()
 	old := s.conn
-	s.conn, s.asked = conn, map[uint16]time.Time{}
+	s.conn, s.reader, s.asked = conn, r, map[uint16]time.Time{}
 	s.mu.Unlock()
 	if old != nil {
 		old.Close() // wakes Run, which reads from the new one
 	}
 	s.ask()
-	return nil
 }
 
 // Take hands a list on if it is newer than the one in hand, and tells whether it was.
@@ -114,7 +124,10 @@
 // answered reads an answer. One that can't be used, or is to no question of ours, leaves the list as it is;
 // the next question is out soon.
 func (s *Service) answered(packet []byte) {
-	id, l, err := s.reader.Answer(packet)
+	s.mu.Lock()
+	reader := s.reader
+	s.mu.Unlock()
+	id, l, err := reader.Answer(packet)
 	s.mu.Lock()
 	at, ok := s.asked[id]
 	delete(s.asked, id)
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net"
 	"sync"
-	"time"
 
 	"brookmux/internal/core"
 )
@@ -32,7 +31,6 @@
 	Config
 	engine    Engine
 	log       *slog.Logger
-	deadlines map[string]time.Duration // by class: for an IAM that names none, and the most that it may name
 	classes   map[uint8]string
 	exchanges map[uint32]int // by point code
 	most      int
@@ -51,9 +49,9 @@
 	session *session // the active association, nil if there is none
 }
 
-// NewServer returns a Server that holds at most so many associations. deadlines are the classes' own.
-func NewServer(c Config, engine Engine, deadlines map[string]time.Duration, most int, log *slog.Logger) *Server {
-	s := &Server{Config: c, engine: engine, log: log, deadlines: deadlines, most: max(1, most),
+// NewServer returns a Server that holds at most so many associations.
+func NewServer(c Config, engine Engine, most int, log *slog.Logger) *Server {
+	s := &Server{Config: c, engine: engine, log: log, most: max(1, most),
 		classes: map[uint8]string{}, exchanges: map[uint32]int{}, peers: map[uint32]*peer{}}
 	for _, k := range c.Classes {
 		s.classes[k.Category] = k.Name
@@ -233,9 +231,6 @@
 	}
 	r := core.Request{Key: key, Class: class, Number: m.number, Left: m.left, Destination: destination, Width: 1,
 		Via: -1, Description: m.description, Caller: w}
-	if most := s.deadlines[class]; r.Left <= 0 || most > 0 && r.Left > most {
-		r.Left = most
-	}
 	if from, ok := s.exchanges[p.PointCode]; ok {
 		r.Transit, r.Via = true, from
 	}
--- a/internal/playback/playback.go
+++ b/internal/playback/playback.go
@@ -635,8 +635,9 @@
 	return true
 }
 
-// address waits for the line that tells where a front listens.
+// address waits for the line that tells where a front listens, and takes the last one.
 func (l *log) address(t *testing.T, front string) string {
 	require.True(t, l.await(`msg="`+front+`"`), "%s", l)
-	return regexp.MustCompile(`msg="` + front + `".* address=(\S+)`).FindStringSubmatch(l.String())[1]
+	all := regexp.MustCompile(`msg="`+front+`".* address=(\S+)`).FindAllStringSubmatch(l.String(), -1)
+	return all[len(all)-1][1]
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -114,6 +115,33 @@
 	}
 }
 
+// After returns these settings with the classes at the places that they had before: those that are gone stay
+// under a name that no call has, new ones come after them. Whoever holds a class by its index can go on.
+func (s Settings) After(before Settings) Settings {
+	out := s
+	out.ClassNames = slices.Clone(before.ClassNames)
+	out.Module.Classes = slices.Clone(before.Module.Classes)
+	out.Widths = nil
+	for i, name := range s.ClassNames {
+		if at := slices.Index(out.ClassNames, name); at >= 0 {
+			out.Module.Classes[at] = s.Module.Classes[i]
+		} else {
+			out.ClassNames = append(out.ClassNames, name)
+			out.Module.Classes = append(out.Module.Classes, s.Module.Classes[i])
+		}
+	}
+	for i, name := range out.ClassNames {
+		switch at := slices.Index(s.ClassNames, name); {
+		case at < 0:
+			out.ClassNames[i] = ""
+			out.Widths = append(out.Widths, 0)
+		case at < len(s.Widths):
+			out.Widths = append(out.Widths, s.Widths[at])
+		}
+	}
+	return out
+}
+
 // reader reads typed members and keeps the first error. Missing and null members are zero.
 type reader struct{ err error }
 
--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -94,6 +94,14 @@
 	go c.serve(stream.NewReader(nc))
 }
 
+// SetMost sets how many connections may be held; those over it go as their turn comes to make room.
+func (f *Front) SetMost(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for f.most = max(1, n); len(f.conns) > f.most && f.makeRoom(); {
+	}
+}
+
 // rank orders connections by what they are worth keeping: those that have said nothing go first, then those on
 // which no call ever stood. Hundreds that connect and say nothing push each other out, not the usual callers.
 func (c *conn) rank() int {
