M3UA: silent peers, floods and made-up point codes keep nothing

Now a server's association is up within ack_ms, 16 messages at fault in a row end it, calls to unknown point codes are refused without a trace, a REL is sent 20 times at most, and failed accepts are waited out on both fronts.

--- a/internal/m3ua/group.go
+++ b/internal/m3ua/group.go
@@ -7,6 +7,9 @@
 	"brookmux/internal/core"
 )
 
+// mostTries is how often a REL is sent: with the usual T1, for the five minutes that Q.764 gives it.
+const mostTries = 20
+
 // phase is where a circuit's call is.
 type phase int
 
@@ -23,6 +26,7 @@
 	phase phase
 	rel   isup        // while releasing
 	again *time.Timer // sends rel again
+	tries int         // how often it was sent
 	owner any
 }
 
@@ -119,6 +123,10 @@
 	if g.send == nil {
 		return
 	}
+	if c.tries++; c.tries > mostTries { // a peer that confirms nothing must not keep circuits for ever
+		delete(g.circuits, c.cic)
+		return
+	}
 	g.send(c.rel)
 	c.again = time.AfterFunc(g.t1, func() {
 		g.mu.Lock()
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -4,10 +4,12 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"sync"
+	"time"
 
 	"brookmux/internal/core"
 )
@@ -19,6 +21,8 @@
 	Hangup(who core.Caller, key string, cause core.Cause, then func(known bool))
 }
 
+const acceptPause = 20 * time.Millisecond
+
 // Causes that the server gives itself (Q.850).
 const (
 	causeNoRoute       core.Cause = 3
@@ -73,9 +77,14 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return fmt.Errorf("m3ua: accept: %w", err)
 		}
+		if err != nil { // no descriptor, or a connection that ended before it was taken: others will come
+			s.log.Warn("m3ua: accept", "error", err)
+			time.Sleep(acceptPause)
+			continue
+		}
 		s.mu.Lock()
 		full := s.open >= s.most
 		if !full {
@@ -182,8 +191,11 @@
 	if t.opc != p.PointCode {
 		return &codeError{errProtocol, fmt.Sprintf("point code %d is not the peer's", t.opc)}
 	}
-	if !known && m.kind != kindIAM {
-		return nil // of a call that was refused for its destination
+	if !known {
+		if m.kind == kindIAM {
+			p.unrouted(t.dpc, m.cic)
+		}
+		return nil // else of a call that was refused for its destination
 	}
 	g := p.group(t.dpc)
 	switch c, at := g.at(m.cic); m.kind {
@@ -206,6 +218,17 @@
 	return nil
 }
 
+// unrouted refuses a call to a destination that there is none of. Nothing is kept of it: a peer can make up as
+// many point codes as it likes.
+func (p *peer) unrouted(dpc uint32, cic uint16) {
+	p.mu.Lock()
+	x := p.session
+	p.mu.Unlock()
+	if x != nil {
+		x.isup(dpc, p.PointCode)(isup{cic: cic, kind: kindREL, cause: causeNoRoute})
+	}
+}
+
 // offer takes a call.
 func (p *peer) offer(g *group, dpc uint32, m isup) {
 	s := p.server
@@ -213,15 +236,12 @@
 	w := &caller{engine: s.engine, group: g}
 	w.circuit = g.seize(m.cic, key, w)
 	if w.circuit == nil {
-		s.log.Warn("m3ua: IAM for a circuit in use", "asp", p.ASP, "cic", m.cic)
+		s.log.Debug("m3ua: IAM for a circuit in use", "asp", p.ASP, "cic", m.cic)
 		return // the circuit's first call is still owed its one answer
 	}
 	class, ok := s.classes[m.category]
-	destination, routed := s.exchanges[dpc]
+	destination := s.exchanges[dpc]
 	switch {
-	case !routed:
-		w.Refuse(key, core.Verdict{Cause: causeNoRoute})
-		return
 	case !ok:
 		w.Refuse(key, core.Verdict{Cause: core.NotImplemented})
 		return
--- a/internal/m3ua/session.go
+++ b/internal/m3ua/session.go
@@ -15,6 +15,9 @@
 	"brookmux/internal/stream"
 )
 
+// mostFaults is how many messages at fault, one after another, end an association.
+const mostFaults = 16
+
 // State is that of an application server process (RFC 4666, 4.3.1).
 type State int32
 
@@ -38,6 +41,7 @@
 var (
 	errSilent = errors.New("m3ua: heartbeat not acknowledged")
 	errNotUp  = errors.New("m3ua: association did not become active in time")
+	errFaults = errors.New("m3ua: too many messages at fault")
 )
 
 // session is one association, at either end of it.
@@ -100,7 +104,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	go s.watch(done, beat, ack)
-	r := bufio.NewReader(s.conn)
+	r, faults := bufio.NewReader(s.conn), 0
 	for {
 		m, err := Read(r)
 		var told *codeError
@@ -108,10 +112,14 @@
 			err = s.take(m)
 		}
 		if errors.As(err, &told) {
-			s.log.Warn("m3ua", "error", err)
 			s.answer(classMgmt, typeErr, word(paramErrorCode, told.code))
-			continue
+			if faults++; faults < mostFaults {
+				s.log.Info("m3ua", "error", err)
+				continue
+			}
+			err = errFaults
 		}
+		faults = 0
 		if err != nil {
 			s.move(Down)
 			s.Finish()
@@ -132,7 +140,9 @@
 		case <-done:
 			return
 		case <-up.C:
-			if State(s.state.Load()) != Active && s.accept == nil {
+			// A client has nothing to wait for; to a server, an ASP that is up may stand by, and heartbeats
+			// tell whether it is there.
+			if state := State(s.state.Load()); state != Active && s.accept == nil || state == Down {
 				s.fail(errNotUp)
 			}
 		case <-tick.C:
--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -11,7 +11,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"brookmux/internal/core"
@@ -69,11 +68,11 @@
 		switch {
 		case ctx.Err() != nil:
 			return nil
-		case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ECONNABORTED) || errors.Is(err, syscall.ENFILE):
+		case errors.Is(err, net.ErrClosed):
+			return fmt.Errorf("sipfront: accept: %w", err)
+		case err != nil: // no descriptor, or a connection that ended before it was taken: others will come
 			f.log.Warn("accept", "error", err)
 			time.Sleep(acceptPause)
-		case err != nil:
-			return fmt.Errorf("sipfront: accept: %w", err)
 		default:
 			f.take(c)
 		}
