gNMI over TLS is tested, and its connections are bounded

Seen: gNMI over TLS was the one promise without a test, and gNMI took as many connections as came, each a descriptor of the few that the platform gives.

Eight connections, 32 streams on each, 64 KiB a request, 5 s for a handshake.

--- a/cmd/brookmux/manage.go
+++ b/cmd/brookmux/manage.go
@@ -15,9 +15,11 @@
 
 	"github.com/openconfig/gnmi/proto/gnmi"
 	"github.com/pelletier/go-toml/v2"
+	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 
 	"brookmux/internal/core"
 	"brookmux/internal/lifecycle"
@@ -34,6 +36,12 @@
 
 const (
 	publishWithin = 5 * time.Second
+
+	mostOperators   = 8 // gNMI connections, so that descriptors are left for calls
+	mostStreams     = 32
+	mostRequest     = 64 << 10
+	handshakeWithin = 5 * time.Second
+	operatorIdle    = 5 * time.Minute // connections without a call end; others are asked whether they are there
 )
 
 // manageConfig is what deploy/store.toml says.
@@ -141,10 +149,12 @@
 		return nil, fmt.Errorf("gnmi: listen: %w", err)
 	}
 	m.log.Info("gnmi listens", "address", l.Addr().String())
-	m.grpc = grpc.NewServer(grpc.Creds(creds))
+	m.grpc = grpc.NewServer(grpc.Creds(creds), grpc.MaxConcurrentStreams(mostStreams), grpc.MaxRecvMsgSize(mostRequest),
+		grpc.ConnectionTimeout(handshakeWithin), grpc.KeepaliveParams(keepalive.ServerParameters{
+			MaxConnectionIdle: operatorIdle, Time: operatorIdle}))
 	gnmi.RegisterGNMIServer(m.grpc, mgmt.NewServer(schema, m.store, m.log))
 	go func() {
-		if err := m.grpc.Serve(l); err != nil {
+		if err := m.grpc.Serve(netutil.LimitListener(l, mostOperators)); err != nil {
 			failed <- fmt.Errorf("gnmi: %w", err)
 		}
 	}()
--- a/internal/playback/gnmi.go
+++ b/internal/playback/gnmi.go
@@ -27,30 +27,36 @@
 }
 
 // operate plays an operator's step.
-func (s *stage) operate(verb, payload string) {
-	if s.operator == nil {
-		conn, err := grpc.NewClient(s.log.address(s.t, "gnmi listens"), grpc.WithTransportCredentials(insecure.NewCredentials()))
+func (s *stage) operate(name, verb, payload string) {
+	o := s.operators[name]
+	if o == nil {
+		creds := insecure.NewCredentials()
+		if s.tls != nil {
+			creds = s.tls.operator(s.t, name)
+		}
+		conn, err := grpc.NewClient(s.log.address(s.t, "gnmi listens"), grpc.WithTransportCredentials(creds))
 		require.NoError(s.t, err)
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
-		s.operator = &operator{conn: conn, ctx: ctx, cancel: cancel}
+		o = &operator{conn: conn, ctx: ctx, cancel: cancel}
+		s.operators[name] = o
 		s.t.Cleanup(func() { cancel(); conn.Close() })
 	}
 	if verb == "sends" {
-		s.operator.send(s, payload)
+		o.send(s, payload)
 		return
 	}
-	s.operator.receive()
-	defer func() { s.operator.got, s.operator.err = nil, nil }()
+	o.receive()
+	defer func() { o.got, o.err = nil, nil }()
 	if code, ok := strings.CutPrefix(payload, "code "); ok {
-		require.Error(s.t, s.operator.err)
-		require.Equal(s.t, code, status.Code(s.operator.err).String(), "%v", s.operator.err)
+		require.Error(s.t, o.err)
+		require.Equal(s.t, code, status.Code(o.err).String(), "%v", o.err)
 		return
 	}
-	require.NoError(s.t, s.operator.err)
-	want := s.operator.got.ProtoReflect().New().Interface()
+	require.NoError(s.t, o.err)
+	want := o.got.ProtoReflect().New().Interface()
 	require.NoError(s.t, prototext.Unmarshal([]byte(payload), want))
 	stamps := regexp.MustCompile(`timestamp:\s*\d+\s*`)
-	got := stamps.ReplaceAllString(prototext.MarshalOptions{Multiline: true}.Format(s.operator.got), "")
+	got := stamps.ReplaceAllString(prototext.MarshalOptions{Multiline: true}.Format(o.got), "")
 	require.Equal(s.t, clean(prototext.MarshalOptions{Multiline: true}.Format(want)), clean(got))
 }
 
--- a/internal/playback/playback.go
+++ b/internal/playback/playback.go
@@ -7,7 +7,8 @@
 //	x5 ...     exchanges that the program reaches by M3UA, by number, hex
 //	names      the name service: "list SERIAL", then lines "c1 ready" or "c2 draining"; or "move" to another
 //	           address, which the configuration file names from then on
-//	g          an operator, gNMI: "sends" CALL and a message as text, "gets" one, or "code NAME"
+//	g          an operator, gNMI: "sends" CALL and a message as text, "gets" one, or "code NAME"; h is one whose
+//	           certificate the program's authority did not sign
 //	program    "stops" (it is told to), "exits" (without an error), "reloads" its configuration file, in which
 //	           the block's lines "OLD => NEW" have been replaced
 //
@@ -20,7 +21,7 @@
 // stands the call whose connection is meant, else it is that of the last message.
 //
 // The first lines name who is there, "cores 1 2", "m3ua 5", and may say how many descriptors the program has,
-// "sockets 12".
+// "sockets 12", and that gNMI goes by "tls".
 //
 // When the steps are over the program is stopped. Nothing that no step expected may have arrived by then,
 // and the ledger of all that was seen must keep the rules.
@@ -91,7 +92,8 @@
 	stopped bool
 	env     map[string]string
 
-	operator *operator
+	operators map[string]*operator
+	tls       *authority // nil where gNMI goes in the clear
 }
 
 // actor is one end of what the program speaks with.
@@ -124,7 +126,7 @@
 	head, rest, ok := strings.Cut(text, "\n== ")
 	require.True(t, ok, "no steps")
 	s := &stage{t: t, actors: map[string]*actor{}, words: map[string]string{}, log: newLog(), last: time.Now(),
-		ledger: newLedger(t)}
+		ledger: newLedger(t), operators: map[string]*operator{}}
 	t.Cleanup(s.close)
 	s.open(head, start)
 	for step := range strings.SplitSeq(rest, "\n== ") {
@@ -151,6 +153,9 @@
 		"[[peer]]\nasp = 1\npoint_code = 201\n[[peer]]\nasp = 2\npoint_code = 105\n"
 	for line := range strings.SplitSeq(head, "\n") {
 		kind, numbers, _ := strings.Cut(line, " ")
+		if kind == "tls" {
+			s.tls = newAuthority(s.t)
+		}
 		for n := range strings.FieldsSeq(numbers) {
 			switch kind {
 			case "sockets":
@@ -179,7 +184,11 @@
 		"BROOKMUX_STORE": filepath.Join(dir, "store.toml")}
 	require.NoError(s.t, os.WriteFile(env["GW_CONFIG"], []byte(config), 0o600))
 	require.NoError(s.t, os.WriteFile(env["BROOKMUX_M3UA"], []byte(toml), 0o600))
-	require.NoError(s.t, os.WriteFile(env["BROOKMUX_STORE"], []byte("gnmi = \"127.0.0.1:0\"\n"), 0o600))
+	store := "gnmi = \"127.0.0.1:0\"\n"
+	if s.tls != nil {
+		store += s.tls.files(s.t, dir)
+	}
+	require.NoError(s.t, os.WriteFile(env["BROOKMUX_STORE"], []byte(store), 0o600))
 	s.env = env
 	s.process = start(s.t, env, s.log)
 }
@@ -260,8 +269,8 @@
 		s.rewrite(old.LocalAddr().String(), s.names.LocalAddr().String())
 	case name == "log":
 		require.True(s.t, s.log.await(payload), "the log never had %q:\n%s", payload, s.log)
-	case name == "g":
-		s.operate(verb, payload)
+	case name == "g", name == "h":
+		s.operate(name, verb, payload)
 	case name == "names":
 		s.list(words[2], payload)
 	default:
