Storm is wired in: operator file, Retry-After, pace of connections, cold seeds

Need: the storm decisions have to act in the program, and operators have to be able to switch each part off.

Change: deploy/storm.toml, checked strictly, with an error that names the field; the core asks storm between take in and admit, tells it each set-up and its outcome, and lets it draw the waits that callers are told. SIP refusals may say Retry-After beside X-Cooldown. New connections can be given their turn by caller group. The guard on cold exchanges starts from their circuits where it has seen nothing.

--- a/cmd/brookmux/config.go
+++ b/cmd/brookmux/config.go
@@ -11,6 +11,7 @@
 	"brookmux/internal/directory"
 	"brookmux/internal/m3ua"
 	"brookmux/internal/settings"
+	"brookmux/internal/stormconf"
 )
 
 // platform is what the platform's configuration file says.
@@ -28,11 +29,12 @@
 type config struct {
 	platform
 	m3ua   m3ua.Config
+	storm  stormconf.File
 	manage manageConfig
 }
 
 // load reads the configuration files; listen, where given, goes before what the platform's file says.
-func load(path, listen, m3uaFile, storeFile string) (config, error) {
+func load(path, listen, m3uaFile, storeFile, stormFile string) (config, error) {
 	p, err := loadPlatform(path, listen)
 	c := config{platform: p}
 	if err != nil {
@@ -41,6 +43,9 @@
 	if c.m3ua, err = m3ua.Load(m3uaFile); err != nil {
 		return c, err
 	}
+	if c.storm, err = stormconf.Load(stormFile); err != nil {
+		return c, err
+	}
 	c.manage, err = loadManage(storeFile)
 	return c, err
 }
--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -56,7 +56,7 @@
 func run(ctx context.Context, getenv func(string) string, signals signals, log *slog.Logger,
 	level *slog.LevelVar, tune func(config)) error {
 	conf, err := load(getenv("GW_CONFIG"), getenv("GW_LISTEN"), cmp.Or(getenv("BROOKMUX_M3UA"), "deploy/m3ua.toml"),
-		cmp.Or(getenv("BROOKMUX_STORE"), "deploy/store.toml"))
+		cmp.Or(getenv("BROOKMUX_STORE"), "deploy/store.toml"), cmp.Or(getenv("BROOKMUX_STORM"), "deploy/storm.toml"))
 	if err != nil {
 		return err
 	}
@@ -78,7 +78,11 @@
 	links.m3ua = m3ua.NewClient(conf.m3ua, log, func(list []brookmux.Switch) { merge.Set("m3ua", brookmux.Full, list) })
 	var front *sipfront.Front
 	reports := make(chan core.Counts, 1)
-	engine, err := core.New(core.Config{Settings: conf.settings, Seed: conf.seed, Trunks: links, Log: log,
+	damping, err := damper(conf)
+	if err != nil {
+		return err
+	}
+	engine, err := core.New(core.Config{Storm: damping, Settings: conf.settings, Seed: conf.seed, Trunks: links, Log: log,
 		Origin: reader.Origin, Reports: reports, MostBytes: conf.memory / 8,
 		Stray: func(key string, cause core.Cause) { front.Stray(key, cause) },
 		Took:  func() { _ = phase.To(lifecycle.Serving) }, // not ahead when it already drains
@@ -90,6 +94,9 @@
 	merge.Told = engine.Listed
 	callers, peers := shares(conf.sockets, len(conf.m3ua.Peers))
 	front = sipfront.New(engine, phase, callers, log)
+	if err := tell(conf, front); err != nil {
+		return err
+	}
 	listener, err := listen(conf.listen, log)
 	if err != nil {
 		return err
--- a/internal/core/cold.go
+++ b/internal/core/cold.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"brookmux"
+	"brookmux/internal/storm"
 )
 
 // The guard on cold cores counts set-ups in slots: a short heavy burst right after a start can push a core
@@ -56,6 +57,19 @@
 	return from + (1-from)*float64(max(0, age))/float64(within)
 }
 
+// usual is how many set-ups a slot an exchange carries on usual days: as it was seen, or else as its circuits
+// tell.
+func (e *Engine) usual(s brookmux.Switch, l *load) float64 {
+	if l.usual > 0 || e.Storm == nil || !e.Storm.Cold {
+		return l.usual
+	}
+	hold := time.Duration(0)
+	for _, k := range e.Settings.Module.Classes {
+		hold = max(hold, k.Hold)
+	}
+	return storm.ColdSeed(e.sizes[s.Number], hold) * coldSlot.Seconds()
+}
+
 // tooCold tells whether one more set-up to a core would be more than this controller's part of what may reach
 // it while it is cold, and counts the set-up if not.
 func (e *Engine) tooCold(to brookmux.SwitchID) bool {
@@ -67,7 +81,7 @@
 	}
 	l.roll(int64(e.now / coldSlot))
 	if warm := e.warmth(s); warm < 1 && e.Settings.Module.FallMultiple > 0 {
-		most := max(coldLeast, e.Settings.Module.FallMultiple*coldBudget*warm*l.usual*coldWindow)
+		most := max(coldLeast, e.Settings.Module.FallMultiple*coldBudget*warm*e.usual(s, l)*coldWindow)
 		if float64(l.recent(coldWindow)) >= most {
 			return true
 		}
--- a/internal/core/damp.go
+++ b/internal/core/damp.go
@@ -6,11 +6,28 @@
 	"github.com/dchest/siphash"
 
 	"brookmux"
+	"brookmux/internal/settings"
 	"brookmux/internal/storm"
 )
 
 const stormEvery = 250 * time.Millisecond // between two looks at the states of a storm
 
+// StormConfig puts into a configuration of storm what the platform's settings say.
+func StormConfig(c storm.Config, s settings.Settings) storm.Config {
+	c.Instances, c.MaxWait, c.Classes = s.Module.Instances, 0, nil
+	if s.Module.RetryAfter {
+		c.MaxWait = s.Module.MaxRetryAfter
+	}
+	for i, k := range s.Module.Classes {
+		name := ""
+		if i < len(s.ClassNames) {
+			name = s.ClassNames[i]
+		}
+		c.Classes = append(c.Classes, storm.Class{Name: name, Aim: k.Aim, Worth: k.Worth})
+	}
+	return c
+}
+
 // damp is the stage between take in and admit: a call that would only make others late is answered now, with
 // the time after which there is room for its caller. It tells whether the call goes on.
 func (e *Engine) damp(c *call) bool {
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -64,12 +64,13 @@
 	lastID    brookmux.CallID
 	switches  map[brookmux.SwitchID]brookmux.Switch
 	recent    [2]map[string]struct{}
-	loads     map[int]*load // by exchange
-	numbers   map[int]bool  // of the exchanges that were ever listed
-	open      int           // calls that are owed an answer
-	mostBytes atomic.Int64  // of them, 0 for any number
-	held      atomic.Int64  // bytes of the requests that are queued or owed an answer
-	strayAt   time.Duration // when the last hang-up of an unknown call was paid for
+	loads     map[int]*load   // by exchange
+	numbers   map[int]bool    // of the exchanges that were ever listed
+	sizes     map[int]float64 // of the groups toward them, as last told
+	open      int             // calls that are owed an answer
+	mostBytes atomic.Int64    // of them, 0 for any number
+	held      atomic.Int64    // bytes of the requests that are queued or owed an answer
+	strayAt   time.Duration   // when the last hang-up of an unknown call was paid for
 	after     []func()
 	counts    Counts
 	drained   chan struct{}
@@ -86,7 +87,7 @@
 		most: c.Settings.MostHeld, every: countsEvery,
 		classes: map[string]int{}, calls: map[string]*call{}, byID: map[brookmux.CallID]*call{},
 		switches: map[brookmux.SwitchID]brookmux.Switch{}, drained: make(chan struct{}), loads: map[int]*load{},
-		numbers: map[int]bool{}}
+		numbers: map[int]bool{}, sizes: map[int]float64{}}
 	e.recent = [2]map[string]struct{}{{}, {}}
 	e.mostBytes.Store(c.MostBytes)
 	var err error
@@ -120,6 +121,9 @@
 	e.post(func() {
 		next := s.After(e.Settings)
 		err := e.ctl.Configure(withMargin(next.Module))
+		if err == nil && e.Storm != nil {
+			err = e.Storm.Configure(StormConfig(e.Storm.Config, next))
+		}
 		if err == nil {
 			e.Settings = next
 			e.name()
@@ -313,6 +317,9 @@
 
 // learn hands a report to the module.
 func (e *Engine) learn(from brookmux.SwitchID, r brookmux.Report, unasked bool) {
+	if s, ok := e.switches[from]; ok && r.Size >= 0 {
+		e.sizes[s.Number] = r.Size
+	}
 	e.ctl.Probed(e.now, brookmux.ProbeResult{Switch: from, OK: true, Unasked: unasked, Report: r})
 }
 
--- a/internal/sipfront/conn.go
+++ b/internal/sipfront/conn.go
@@ -34,6 +34,7 @@
 	*stream.Writer
 	nc     net.Conn
 	front  *Front
+	group  string // of callers: the address it came from
 	born   time.Time
 	last   atomic.Int64 // Unix nanoseconds of the last message
 	faults atomic.Int32 // messages at fault since the last good one
@@ -59,12 +60,21 @@
 }
 
 func newConn(f *Front, nc net.Conn) *conn {
-	c := &conn{Writer: stream.NewWriter(nc), nc: nc, front: f, born: time.Now(), invites: map[string]open{},
+	c := &conn{Writer: stream.NewWriter(nc), nc: nc, front: f, group: group(nc), born: time.Now(), invites: map[string]open{},
 		byes: map[string]sent{}}
 	c.last.Store(c.born.UnixNano())
 	return c
 }
 
+// group is the caller group of a connection.
+func group(nc net.Conn) string {
+	host, _, err := net.SplitHostPort(nc.RemoteAddr().String())
+	if err != nil {
+		return nc.RemoteAddr().String()
+	}
+	return host
+}
+
 // serve reads the connection to its end; set-ups open on it are withdrawn then.
 func (c *conn) serve(r *stream.Reader) {
 	err := c.read(r)
@@ -215,7 +225,7 @@
 		c.fault(m, bad.status, bad.why)
 		return nil
 	}
-	r.Caller = c
+	r.Caller, r.Group = c, c.group
 	o := open{message{method: m.method, header: m.header}, m.sum(c.front.seed)}
 	c.mu.Lock()
 	first, repeated := c.invites[r.Key]
@@ -328,6 +338,9 @@
 	b := m.answer(status, reason)
 	if wait := v.Wait.Milliseconds(); wait > 0 {
 		b = header(b, "X-Cooldown", strconv.FormatInt(wait, 10))
+		if c.front.retryAfter.Load() { // whole seconds (RFC 3261, 20.33): never sooner than was meant
+			b = header(b, "Retry-After", strconv.FormatInt((wait+999)/1000, 10))
+		}
 	}
 	c.Send(end(b, nil))
 }
--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -42,6 +42,9 @@
 	out    atomic.Bool // out of service: tests fail
 	seed   maphash.Seed
 
+	retryAfter atomic.Bool // refusals say Retry-After beside X-Cooldown
+	paced      *paced      // new connections get their turn, nil for at once
+
 	mu     sync.Mutex
 	conns  map[*conn]struct{}
 	unsent []release // no connection was open for them
@@ -74,11 +77,14 @@
 			f.log.Warn("accept", "error", err)
 			time.Sleep(acceptPause)
 		default:
-			f.take(c)
+			f.come(c)
 		}
 	}
 }
 
+// SetRetryAfter has refusals say Retry-After (RFC 3261, 20.33) beside X-Cooldown.
+func (f *Front) SetRetryAfter(on bool) { f.retryAfter.Store(on) }
+
 // take starts a connection, in place of another where there are as many as may be.
 func (f *Front) take(nc net.Conn) {
 	f.mu.Lock()
@@ -190,6 +196,9 @@
 	for c := range f.conns {
 		c.Finish()
 	}
+	if f.paced != nil {
+		f.paced.close()
+	}
 }
 
 // SetInService tells whether tests pass. Calls are taken all the same.
--- a/internal/sipfront/message.go
+++ b/internal/sipfront/message.go
@@ -141,7 +141,8 @@
 		return core.Request{}, &problem{400, "X-Deadline is missing or malformed"}
 	}
 	r := core.Request{Key: m.id(), Class: m.header.Get("X-Tier"), Number: number, Width: 1, Via: -1, Destination: -1,
-		Left: time.Duration(left) * time.Millisecond, Description: m.body}
+		Resent: m.header.Get("X-Resent") != "" && m.header.Get("X-Resent") != "0",
+		Left:   time.Duration(left) * time.Millisecond, Description: m.body}
 	if r.Class == "" {
 		return r, &problem{400, "X-Tier is missing"}
 	}
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -30,7 +30,7 @@
 	Seed      uint64
 
 	// Each part can be switched off alone.
-	Window, Budget, Advice, Callers bool
+	Window, Budget, Advice, Callers, Cold bool
 
 	Target float64 // part of the shortest aim that a set-up may wait in line, 0 for the usual one
 }
