--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -14,6 +14,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -82,7 +83,12 @@
 	if err != nil {
 		return err
 	}
-	engine, err := core.New(core.Config{Storm: damping, Settings: conf.settings, Seed: conf.seed, Trunks: links, Log: log,
+	var peering atomic.Pointer[m3ua.Server]
+	engine, err := core.New(core.Config{Storm: damping, Condition: func(exchange int, c core.Condition) {
+		if s := peering.Load(); s != nil {
+			s.SetCondition(exchange, c)
+		}
+	}, Settings: conf.settings, Seed: conf.seed, Trunks: links, Log: log,
 		Origin: reader.Origin, Reports: reports, MostBytes: conf.memory / 8,
 		Stray: func(key string, cause core.Cause) { front.Stray(key, cause) },
 		Took:  func() { _ = phase.To(lifecycle.Serving) }, // not ahead when it already drains
@@ -124,7 +130,7 @@
 	go manager.follow(ctx)
 	go manager.publish(ctx, phase, reports)
 	if conf.m3ua.Enabled {
-		if err := serveM3UA(ctx, conf, engine, links, peers, log, failed); err != nil {
+		if err := serveM3UA(ctx, conf, engine, links, peers, log, failed, &peering); err != nil {
 			return err
 		}
 	}
@@ -195,7 +201,7 @@
 
 // serveM3UA starts the second front.
 func serveM3UA(ctx context.Context, conf config, engine *core.Engine, links *trunks, peers int, log *slog.Logger,
-	failed chan<- error) error {
+	failed chan<- error, peering *atomic.Pointer[m3ua.Server]) error {
 	if conf.m3ua.Listen != "" {
 		l, err := net.Listen("tcp", conf.m3ua.Listen)
 		if err != nil {
@@ -203,6 +209,10 @@
 		}
 		log.Info("m3ua listens", "address", l.Addr().String())
 		server := m3ua.NewServer(conf.m3ua, engine, peers, log)
+		server.TellLevel = conf.storm.Enabled && conf.storm.Told.Level
+		server.TellNetwork = conf.storm.Enabled && conf.storm.Told.Network
+		peering.Store(server)
+		engine.Conditions() // what has been told while nobody was there to hear it
 		go func() { failed <- server.Serve(ctx, l) }()
 	}
 	go links.m3ua.Run(ctx, engine)
--- a/controller.go
+++ b/controller.go
@@ -21,6 +21,7 @@
 
 	delayPart  = 3               // set-ups may wait this part of the shortest aim
 	delayShare = 0.2             // weight of one new set-up delay in the average
+	delayFades = time.Second / 4 // a set-up delay counts whole for so long, then half after each further one
 	delayStale = 2 * time.Second // a set-up delay older than this tells nothing
 	holdTwice  = 2               // what far exchanges hold back their own callers go on sending there
 	scaleShare = 0.5             // weight of one period in the per-call work
@@ -418,8 +419,12 @@
 func (c *Controller) rescale(now time.Duration) {
 	wait, bound := c.shortest, false
 	for _, e := range c.exchanges {
-		if w, ok := c.wait(now, e); ok && math.IsInf(c.shortest, 1) {
-			wait = min(wait, w)
+		w, ok := c.wait(now, e)
+		if now-e.stoodAt >= period { // a wait of before is no line: nothing may be under way any more
+			w, ok = c.oldest(now, e)
+		}
+		if ok && math.IsInf(c.shortest, 1) {
+			wait = min(wait, max(0, w))
 		}
 		bound = bound || e.gate < 1
 	}
@@ -444,7 +449,8 @@
 func (c *Controller) wait(now time.Duration, e *exchange) (float64, bool) {
 	w, ok := 0.0, e.delay > 0 && now-e.stoodAt < delayStale
 	if ok {
-		w = e.delay - c.least
+		// A line that nothing new was seen of has been worked off meanwhile, or is about to be.
+		w = (e.delay - c.least) * math.Exp2(-max(0, (now-e.stoodAt-delayFades).Seconds())/delayFades.Seconds())
 	}
 	if age, under := c.oldest(now, e); under && age > w {
 		return age, true
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -86,6 +86,13 @@
 	Reason brookmux.Reason
 	Report brookmux.Report
 	Cause  Cause
+	Level  int // automatic congestion level that the core told (Q.763, 3.4), 0 for none
+}
+
+// Condition is how an exchange is, for peers that are told of it.
+type Condition struct {
+	Available bool // it has a core that takes set-ups
+	Level     int  // of congestion: 0 for none, 1 or 2
 }
 
 // Loss is what became of the attempts or calls that a core lost.
@@ -105,6 +112,8 @@
 	Lost(at brookmux.SwitchID, keys []string, l Loss)
 	// Reported hands on a core's report that belongs to no call.
 	Reported(from brookmux.SwitchID, r brookmux.Report, unasked bool)
+	// Congested tells the congestion level that a core has told, 0 for none.
+	Congested(from brookmux.SwitchID, level int)
 	// Ignored tells that a core sent something for a call that belongs to nothing.
 	Ignored(from brookmux.SwitchID, key, what string)
 }
--- a/internal/core/damp.go
+++ b/internal/core/damp.go
@@ -88,6 +88,9 @@
 		return
 	}
 	c.failed++
+	if o.Level > 0 {
+		e.Storm.Congested(e.now, c.Destination, o.Level)
+	}
 	full := o.Result == brookmux.ResultFull && o.Reason != brookmux.ReasonNoCircuit && o.Reason != brookmux.ReasonTurnedBack
 	lost := o.Result == brookmux.ResultTimeout || o.Result == brookmux.ResultReset || o.Result == brookmux.ResultConnectFailed
 	if full || lost {
@@ -98,15 +101,63 @@
 // noteStart tells storm of a processor that has just started in an exchange's place.
 func (e *Engine) noteStart(before map[brookmux.SwitchID]brookmux.Switch, s brookmux.Switch) {
 	if was, known := before[s.ID]; e.Storm != nil && s.State == brookmux.Ready && e.warmth(s) < 1 && (!known || was.Since != s.Since) {
-		e.Storm.Started(e.now, s.Number)
+		if s.Number != e.Settings.Module.Here {
+			e.Storm.Started(e.now, s.Number)
+			return
+		}
+		for number := range e.numbers { // all that is sent passes the own processor
+			e.Storm.Started(e.now, number)
+		}
 	}
 }
 
 // followStorm moves the states on, and logs each change.
 func (e *Engine) followStorm() {
 	for _, c := range e.Storm.Tick(e.now) {
+		if e.Changed != nil {
+			e.Changed(c)
+		}
 		e.Config.Log.Info("storm", "scope", c.Scope.Kind, "of", c.Scope.Name, "from", c.From.String(), "to", c.To.String(),
 			"cause", c.Cause, "offered", c.Offered, "usual", c.Usual, "redials", c.Redials, "links", c.Links)
 	}
+	e.tellConditions()
 	e.in(stormEvery, e.followStorm)
 }
+
+// tellConditions tells how exchanges are, where that has changed.
+func (e *Engine) tellConditions() {
+	if e.Config.Condition == nil {
+		return
+	}
+	ready := map[int]bool{}
+	for _, s := range e.switches {
+		ready[s.Number] = ready[s.Number] || s.State == brookmux.Ready
+	}
+	for number := range e.numbers {
+		c := Condition{Available: ready[number] || number == e.Settings.Module.Here}
+		if e.Storm != nil && c.Available {
+			c.Level = e.Storm.Level(e.now, number)
+		}
+		if e.told[number] != c {
+			e.told[number] = c
+			e.Config.Condition(number, c)
+		}
+	}
+}
+
+// Conditions has all conditions told again.
+func (e *Engine) Conditions() {
+	e.post(func() {
+		clear(e.told)
+		e.tellConditions()
+	})
+}
+
+// Congested takes the congestion level that a core has told.
+func (e *Engine) Congested(from brookmux.SwitchID, level int) {
+	e.post(func() {
+		if s, ok := e.switches[from]; ok && e.Storm != nil {
+			e.Storm.Congested(e.now, s.Number, level)
+		}
+	})
+}
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -38,7 +38,9 @@
 	Took     func()                        // called at the first request, may be nil
 	Reports  chan<- Counts                 // gets the totals now and then if it has room, may be nil
 
-	Storm *storm.Storm // sees storms and damps them, nil for none
+	Storm     *storm.Storm         // sees storms and damps them, nil for none
+	Changed   func(storm.Change)   // told of each change of a storm's state, may be nil
+	Condition func(int, Condition) // told how an exchange is when that changes, may be nil; it must not block
 
 	MostBytes int64 // of requests that may be held at a time, 0 for any number
 
@@ -64,13 +66,14 @@
 	lastID    brookmux.CallID
 	switches  map[brookmux.SwitchID]brookmux.Switch
 	recent    [2]map[string]struct{}
-	loads     map[int]*load   // by exchange
-	numbers   map[int]bool    // of the exchanges that were ever listed
-	sizes     map[int]float64 // of the groups toward them, as last told
-	open      int             // calls that are owed an answer
-	mostBytes atomic.Int64    // of them, 0 for any number
-	held      atomic.Int64    // bytes of the requests that are queued or owed an answer
-	strayAt   time.Duration   // when the last hang-up of an unknown call was paid for
+	loads     map[int]*load     // by exchange
+	numbers   map[int]bool      // of the exchanges that were ever listed
+	told      map[int]Condition // how exchanges are, as last told
+	sizes     map[int]float64   // of the groups toward them, as last told
+	open      int               // calls that are owed an answer
+	mostBytes atomic.Int64      // of them, 0 for any number
+	held      atomic.Int64      // bytes of the requests that are queued or owed an answer
+	strayAt   time.Duration     // when the last hang-up of an unknown call was paid for
 	after     []func()
 	counts    Counts
 	drained   chan struct{}
@@ -87,7 +90,7 @@
 		most: c.Settings.MostHeld, every: countsEvery,
 		classes: map[string]int{}, calls: map[string]*call{}, byID: map[brookmux.CallID]*call{},
 		switches: map[brookmux.SwitchID]brookmux.Switch{}, drained: make(chan struct{}), loads: map[int]*load{},
-		numbers: map[int]bool{}, sizes: map[int]float64{}}
+		numbers: map[int]bool{}, sizes: map[int]float64{}, told: map[int]Condition{}}
 	e.recent = [2]map[string]struct{}{{}, {}}
 	e.mostBytes.Store(c.MostBytes)
 	var err error
@@ -306,6 +309,7 @@
 			e.numbers[s.Number] = true
 		}
 		e.ctl.Members(e.now, m)
+		e.tellConditions()
 		e.Config.Log.Debug("members", "kind", m.Kind, "switches", m.Switches, "now", e.now)
 	})
 }
--- a/internal/m3ua/client.go
+++ b/internal/m3ua/client.go
@@ -32,6 +32,8 @@
 	group  *group
 	active bool
 	gone   *time.Timer
+
+	unreachable bool // over the association, by the far end's word
 }
 
 // NewClient returns a Client; listed is told which exchanges can be reached whenever that changes.
@@ -69,7 +71,7 @@
 		if err == nil {
 			s := newSession(conn, l.client.RoutingContext, l.client.log)
 			s.changed = func(to State) { l.changed(s, to) }
-			s.data = l.data
+			s.data, s.managed = l.data, l.managed
 			s.answer(classASPSM, typeUp, word(paramASPID, l.ASP))
 			err = s.run(ctx, ms(timers.Beat), ms(timers.Ack))
 		}
@@ -95,6 +97,9 @@
 	x.mu.Lock()
 	was := l.active
 	l.active = to == Active
+	if !l.active {
+		l.unreachable = false // the next association says anew what can't be reached
+	}
 	if l.active && l.gone != nil {
 		l.gone.Stop()
 	} else if was && !l.active {
@@ -138,7 +143,7 @@
 	x.mu.Lock()
 	var out []brookmux.Switch
 	for _, c := range x.Links {
-		if x.links[brookmux.SwitchID(c.ID)].active {
+		if l := x.links[brookmux.SwitchID(c.ID)]; l.active && !l.unreachable {
 			out = append(out, brookmux.Switch{ID: brookmux.SwitchID(c.ID), Number: c.Number, Zone: c.Zone,
 				State: brookmux.Ready})
 		}
@@ -164,7 +169,7 @@
 	l := x.links[to]
 	category, ok := x.categories[a.Class]
 	x.mu.Lock()
-	active := l.active
+	active := l.active && !l.unreachable
 	x.mu.Unlock()
 	o := core.Outcome{Result: brookmux.ResultMoot, Reason: brookmux.ReasonNoCircuit}
 	if !carries(a.Number) || !fits(a.Description) {
@@ -226,7 +231,7 @@
 
 // outcome translates a REL (see the README's table).
 func outcome(m isup) core.Outcome {
-	o := core.Outcome{Cause: m.cause, Result: brookmux.ResultError}
+	o := core.Outcome{Cause: m.cause, Level: m.level, Result: brookmux.ResultError}
 	switch m.cause {
 	case core.NormalClearing:
 		o.Result = brookmux.ResultOK
--- a/internal/m3ua/codec.go
+++ b/internal/m3ua/codec.go
@@ -20,6 +20,7 @@
 const (
 	classMgmt     Class = 0
 	classTransfer Class = 1
+	classSSNM     Class = 2 // signalling network management
 	classASPSM    Class = 3
 	classASPTM    Class = 4
 
@@ -28,6 +29,13 @@
 
 	typeData Type = 1
 
+	typeDUNA Type = 1 // destination unavailable
+	typeDAVA Type = 2 // destination available
+	typeDAUD Type = 3 // destination state audit
+	typeSCON Type = 4 // signalling congestion
+	typeDUPU Type = 5 // destination user part unavailable
+	typeDRST Type = 6 // destination restricted
+
 	typeUp      Type = 1
 	typeDown    Type = 2
 	typeBeat    Type = 3
@@ -49,6 +57,8 @@
 	paramErrorCode = 0x000c
 	paramStatus    = 0x000d
 	paramASPID     = 0x0011
+	paramAffected  = 0x0012 // affected point codes
+	paramLevel     = 0x0205 // congestion indications
 	paramData      = 0x0210
 )
 
--- a/internal/m3ua/group.go
+++ b/internal/m3ua/group.go
@@ -105,12 +105,18 @@
 
 // release starts to release a circuit: REL goes out now or with the next association, and again until RLC.
 func (g *group) release(c *circuit, cause core.Cause, wait time.Duration) {
+	g.refuse(c, isup{cause: cause, wait: wait})
+}
+
+// refuse starts to release a circuit with all that a REL may say.
+func (g *group) refuse(c *circuit, rel isup) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if c == nil || c.phase == releasing || g.circuits[c.cic] != c {
 		return
 	}
-	c.phase, c.rel = releasing, isup{cic: c.cic, kind: kindREL, cause: cause, wait: wait}
+	rel.cic, rel.kind = c.cic, kindREL
+	c.phase, c.rel = releasing, rel
 	delete(g.byKey, c.key)
 	g.push(c)
 }
--- a/internal/m3ua/isup.go
+++ b/internal/m3ua/isup.go
@@ -25,6 +25,7 @@
 const (
 	optEnd         = 0x00
 	optUserToUser  = 0x20 // holds the description, in as many as it takes
+	optLevel       = 0x27 // automatic congestion level
 	optDelay       = 0x31 // propagation delay counter: here, how long the caller waits, in milliseconds
 	uuiPlain       = 0x00 // protocol discriminator: user-specific
 	uuiMost        = 130  // bytes of description in one parameter
@@ -32,6 +33,7 @@
 	planISDN       = 0x10 // numbering plan ISDN, routing to internal number allowed
 	mediumSpeech   = 0x00
 	mostDigits     = 2 * 250
+	mostLevel      = 2    // of the automatic congestion level
 	beside         = 512  // bytes of an IAM that are not description, at most
 	causeLocation  = 0x80 // coding ITU-T, location user
 	causeExtension = 0x80
@@ -46,6 +48,7 @@
 	left        time.Duration // IAM: how long the caller waits, 0 if not said
 	cause       core.Cause    // REL
 	wait        time.Duration // REL: how long to stay away, in the cause's diagnostic
+	level       int           // REL: automatic congestion level, 0 for none, 1 or 2
 	description []byte        // IAM, ANM
 }
 
@@ -77,8 +80,14 @@
 		if m.wait > 0 {
 			diagnostic = binary.BigEndian.AppendUint32(nil, uint32(min(m.wait.Milliseconds(), 1<<31)))
 		}
+		if m.level > 0 {
+			b[len(b)-1] = byte(4 + len(diagnostic)) // where the optional part starts
+		}
 		b = append(b, byte(2+len(diagnostic)), causeLocation, causeExtension|byte(m.cause))
 		b = append(b, diagnostic...)
+		if m.level > 0 {
+			b = append(b, optLevel, 1, byte(min(m.level, mostLevel)), optEnd)
+		}
 	case kindRLC:
 		b = append(b, 0)
 	}
@@ -229,6 +238,10 @@
 		switch {
 		case b[0] == optUserToUser && len(v) > 0:
 			m.description = append(m.description, v[1:]...)
+		case b[0] == optLevel && len(v) == 1: // other values are spare (Q.763, 3.4): no level
+			if m.level = int(v[0]); m.level > mostLevel {
+				m.level = 0
+			}
 		case b[0] == optDelay && len(v) == 4:
 			m.left = time.Duration(binary.BigEndian.Uint32(v)) * time.Millisecond
 		}
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -39,9 +39,13 @@
 	exchanges map[uint32]int // by point code
 	most      int
 
-	mu    sync.Mutex
-	peers map[uint32]*peer // by ASP identifier
-	open  int
+	TellLevel   bool // refusals carry the automatic congestion level
+	TellNetwork bool // peers are told of exchanges that are congested or can't be reached
+
+	mu         sync.Mutex
+	peers      map[uint32]*peer // by ASP identifier
+	open       int
+	conditions map[uint32]core.Condition // by point code, as last told
 }
 
 // peer is a configured peer with its circuits, a group for each point code that it calls.
@@ -56,7 +60,7 @@
 // NewServer returns a Server that holds at most so many associations.
 func NewServer(c Config, engine Engine, most int, log *slog.Logger) *Server {
 	s := &Server{Config: c, engine: engine, log: log, most: max(1, most),
-		classes: map[uint8]string{}, exchanges: map[uint32]int{}, peers: map[uint32]*peer{}}
+		classes: map[uint8]string{}, exchanges: map[uint32]int{}, peers: map[uint32]*peer{}, conditions: map[uint32]core.Condition{}}
 	for _, k := range c.Classes {
 		s.classes[k.Category] = k.Name
 	}
@@ -115,10 +119,16 @@
 		return nil
 	}
 	x.changed = func(to State) {
-		p.changed(x, to == Active)
+		if p.changed(x, to == Active); to == Active {
+			p.brief(x)
+		}
 		s.log.Info("m3ua association", "asp", p.ASP, "state", to.String())
 	}
 	x.data = func(t transfer, m isup) error { return p.data(t, m) }
+	x.managed = func(_ Message, list []pointRange) error {
+		p.audit(x, list)
+		return nil
+	}
 	err := x.run(ctx, ms(s.Timers.Beat), ms(s.Timers.Ack))
 	if ctx.Err() == nil {
 		s.log.Info("m3ua association over", "error", err)
@@ -233,7 +243,7 @@
 func (p *peer) offer(g *group, dpc uint32, m isup) {
 	s := p.server
 	key := newKey()
-	w := &caller{engine: s.engine, group: g}
+	w := &caller{engine: s.engine, group: g, level: s.TellLevel}
 	w.circuit = g.seize(m.cic, key, w)
 	if w.circuit == nil {
 		s.log.Debug("m3ua: IAM for a circuit in use", "asp", p.ASP, "cic", m.cic)
@@ -249,7 +259,7 @@
 		w.Refuse(key, core.Verdict{Cause: causeInvalidNumber})
 		return
 	}
-	r := core.Request{Key: key, Class: class, Number: m.number, Left: m.left, Destination: destination, Width: 1,
+	r := core.Request{Group: fmt.Sprintf("point code %d", p.PointCode), Key: key, Class: class, Number: m.number, Left: m.left, Destination: destination, Width: 1,
 		Via: -1, Description: m.description, Caller: w}
 	if from, ok := s.exchanges[p.PointCode]; ok {
 		r.Transit, r.Via = true, from
@@ -270,6 +280,7 @@
 	engine  Engine
 	group   *group
 	circuit *circuit
+	level   bool // refusals say the congestion level
 }
 
 // Stands implements core.Caller. An answer that no message can hold fails: the peer is told so, and the call
@@ -286,7 +297,13 @@
 }
 
 // Refuse implements core.Caller.
-func (c *caller) Refuse(_ string, v core.Verdict) { c.group.release(c.circuit, v.Cause, v.Wait) }
+func (c *caller) Refuse(_ string, v core.Verdict) {
+	rel := isup{cause: v.Cause, wait: v.Wait}
+	if c.level {
+		rel.level = v.Level
+	}
+	c.group.refuse(c.circuit, rel)
+}
 
 // Release implements core.Caller.
 func (c *caller) Release(_ string, cause core.Cause) { c.group.release(c.circuit, cause, 0) }
--- a/internal/m3ua/session.go
+++ b/internal/m3ua/session.go
@@ -59,6 +59,7 @@
 	accept  func(asp uint32, named bool) *codeError // server: an ASP came up
 	changed func(State)                             // called from the reader
 	data    func(transfer, isup) error              // called from the reader, while active
+	managed func(Message, []pointRange) error       // called from the reader, while active: a message of class SSNM
 }
 
 func newSession(conn net.Conn, context uint32, log *slog.Logger) *session {
@@ -172,6 +173,8 @@
 		s.log.Info("m3ua management", "type", m.Type, "error", code, "status", status)
 	case classTransfer:
 		return s.transfer(m, state, unexpected)
+	case classSSNM:
+		return s.network(m, unexpected)
 	case classASPSM:
 		switch {
 		case m.Type == typeUp && server:
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -14,12 +14,15 @@
 
 // Habit is how callers behave.
 type Habit struct {
-	Redials  int              // further tries of a call at most
-	Ignore   float64          // share of the callers that ignore the advice on when to come back
-	PerHost  int              // callers behind one address
-	RedialIn [2]time.Duration // own wait before a further try, from and to
-	Patience [2]float64       // share of the class's deadline after which a try is given up, from and to
-	Upgrade  float64          // share of calls of class 1
+	Redials   int              // further tries of a call at most
+	Ignore    float64          // share of the callers that ignore the advice on when to come back
+	PerHost   int              // callers behind one address
+	OneNumber float64          // share of the calls that go to one number
+	Elsewhere float64          // share of the further tries that go to another controller
+	Jitter    float64          // up to this part more than the time told
+	RedialIn  [2]time.Duration // own wait before a further try, from and to
+	Patience  [2]float64       // share of the class's deadline after which a try is given up, from and to
+	Upgrade   float64          // share of calls of class 1
 }
 
 // Callers are the subscribers of an exchange.
@@ -98,6 +101,9 @@
 	if c.PerHost > 0 {
 		k.host = fmt.Sprintf("10.%d.0.%d", c.at.number, c.rng.IntN(c.PerHost))
 	}
+	if c.rng.Float64() < c.OneNumber {
+		k.number = "5ea7"
+	}
 	c.Record.offered(k)
 	k.dial()
 }
@@ -113,20 +119,26 @@
 	m := c.mesh
 	k.Tries++
 	deadline := m.Settings.Module.Classes[k.Class].Deadline
-	if c.at.engine == nil { // nobody listens
+	at := c.at
+	if k.Tries > 1 && c.rng.Float64() < c.Elsewhere {
+		if o := m.nodes[c.rng.IntN(m.Controllers)]; o.number != k.Dest {
+			at = o
+		}
+	}
+	if at.engine == nil { // nobody listens
 		c.Record.Unreached++
 		k.again(0)
 		return
 	}
 	m.lastID++
-	t := &try{call: k, key: fmt.Sprintf("%016x", m.lastID<<16|uint64(c.at.number)), at: m.Now(), node: c.at,
+	t := &try{call: k, key: fmt.Sprintf("%016x", m.lastID<<16|uint64(at.number)), at: m.Now(), node: at,
 		left: time.Duration((c.Patience[0] + c.rng.Float64()*(c.Patience[1]-c.Patience[0])) * float64(deadline))}
 	t.left = min(t.left, k.At+deadline-m.Now())
 	m.calls[t.key] = &ticket{class: k.Class, dest: k.Dest, width: 1,
 		hold: time.Duration(c.rng.ExpFloat64() * float64(m.Hold[k.Class]))}
-	c.at.open[t] = struct{}{}
-	c.at.Proc.Do(c.at.Proc.Look, nil, nil)
-	c.at.event(func(e *core.Engine) {
+	at.open[t] = struct{}{}
+	at.Proc.Do(at.Proc.Look, nil, nil)
+	at.event(func(e *core.Engine) {
 		e.Offer(core.Request{Key: t.key, Class: m.Settings.ClassNames[k.Class], Number: k.number, Left: t.left,
 			Destination: k.Dest, Width: 1, Via: -1, Caller: t, Group: k.host, Resent: k.Tries > 1})
 	})
@@ -143,7 +155,7 @@
 // again dials later, if the caller does: after the time told, else after one of its own.
 func (k *Call) again(told time.Duration) {
 	c := k.callers
-	wait := told
+	wait := told + time.Duration(c.rng.Float64()*c.Jitter*float64(told))
 	if wait <= 0 || k.Ignores {
 		wait = c.within(c.RedialIn)
 	}
@@ -186,7 +198,7 @@
 		return
 	}
 	t.close()
-	t.call.callers.Record.told(v.Wait)
+	t.call.callers.Record.told(t.node, v.Wait)
 	t.call.again(v.Wait)
 }
 
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -5,16 +5,42 @@
 // Record keeps what became of calls.
 type Record struct {
 	Calls     []*Call
-	Told      map[time.Duration]int // waits told, and how often
-	Unreached int                   // tries that found nobody listening
+	Told      map[[2]int][]time.Duration // waits told, in turn, by a controller and its start
+	Unreached int                        // tries that found nobody listening
 }
 
 // NewRecord returns an empty Record.
-func NewRecord() *Record { return &Record{Told: map[time.Duration]int{}} }
+func NewRecord() *Record { return &Record{Told: map[[2]int][]time.Duration{}} }
 
 func (r *Record) offered(k *Call) { r.Calls = append(r.Calls, k) }
 
-func (r *Record) told(wait time.Duration) { r.Told[wait.Round(time.Millisecond)]++ }
+func (r *Record) told(by *Node, wait time.Duration) {
+	if wait > 0 {
+		k := [2]int{by.number, by.epoch}
+		r.Told[k] = append(r.Told[k], wait.Round(time.Millisecond))
+	}
+}
+
+// Alike counts the waits that the same controller had told before, among its last so many.
+func (r *Record) Alike(among int) int {
+	alike := 0
+	for _, told := range r.Told {
+		recent := map[time.Duration]int{}
+		for i, w := range told {
+			if i >= among {
+				recent[told[i-among]]--
+			}
+			if recent[w] > 0 {
+				alike++
+			}
+			recent[w]++
+		}
+	}
+	return alike
+}
+
+// OfDay is a time of the virtual clock as one of the day.
+func OfDay(at time.Duration) time.Duration { return at - dayStart }
 
 // Tally is what became of the calls of a span of time.
 type Tally struct {
--- a/internal/storm/detect.go
+++ b/internal/storm/detect.go
@@ -1,6 +1,9 @@
 package storm
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
 	"time"
 )
 
@@ -43,62 +46,45 @@
 const (
 	fast      = time.Second      // memory of what is happening
 	slow      = 60 * time.Second // and of what is usual
-	learnFrom = 5 * time.Second  // a meter this young has no usual rate
+	learnFrom = 5 * time.Second  // less than so much of calm time makes no usual rate
 	leastRate = 5.0              // events a second: fewer are no storm, whatever their shares
 
 	risingOver = 1.3 // times the usual rate
 	stormOver  = 1.7
 	risingPart = 0.15 // redials among the calls
 	stormPart  = 0.35
-	lateRising = 1 * time.Second // a state must be asked for so long: bursts are not storms
-	lateCalm   = 3 * time.Second // and the way back for longer
-	calmAfter  = 8 * time.Second // in recovering without a relapse
+	lateRising = 1500 * time.Millisecond // a state must be asked for so long: bursts are not storms
+	lateCalm   = 3 * time.Second         // and the way back for longer
+	calmAfter  = 8 * time.Second         // in recovering without a relapse
 )
 
 // meter follows one scope.
 type meter struct {
-	scope   Scope
-	state   State
-	since   time.Duration
-	begun   time.Duration
-	now     rate
-	usual   rate
-	again   rate
-	links   rate
-	wanted  State
-	wantAt  time.Duration
-	started bool
-	seen    time.Duration
+	scope  Scope
+	state  State
+	since  time.Duration
+	now    rate
+	usual  usual
+	again  rate
+	links  rate
+	wanted State
+	wantAt time.Duration
+	seen   time.Duration
 }
 
 // offered counts a call.
 func (m *meter) offered(now time.Duration, resent bool) {
-	if !m.started {
-		m.started, m.begun = true, now
-	}
 	m.seen = now
 	m.now.add(now, 1, fast)
 	if resent {
 		m.again.add(now, 1, fast)
 	}
-	if m.state == Calm && !resent { // a storm must not become the usual
-		m.usual.add(now, 1, slow)
-	}
-}
-
-// learnt is the usual rate, corrected for a memory that is not full yet; 0 while there is none.
-func (m *meter) learnt(now time.Duration) float64 {
-	age := now - m.begun
-	if !m.started || age < learnFrom {
-		return 0
-	}
-	return m.usual.get(now, slow) / min(1, max(0.08, float64(age)/float64(slow)))
 }
 
 // figures are what there is to say.
 func (m *meter) figures(now time.Duration) Figures {
 	offered := m.now.get(now, fast)
-	return Figures{Offered: offered, Usual: m.learnt(now), Redials: share(m.again.get(now, fast), offered),
+	return Figures{Offered: offered, Usual: m.usual.rate(), Redials: share(m.again.get(now, fast), offered),
 		Links: m.links.get(now, fast)}
 }
 
@@ -155,6 +141,8 @@
 // way of recovering.
 func (s *Storm) follow(now time.Duration, m *meter) {
 	want, cause := m.judge(now)
+	f := m.figures(now)
+	m.usual.learn(now, f.Offered*(1-f.Redials), m.state == Calm && want == Calm)
 	if want != m.wanted {
 		m.wanted, m.wantAt = want, now
 	}
@@ -181,20 +169,20 @@
 		d.firsts.add(now, 1, fast)
 	}
 	d.heavy.add(now, o.Number)
-	for _, m := range []*meter{&s.whole, &s.classes[o.Class], &d.meter, s.group(now, o.Group)} {
+	for _, m := range []*meter{&s.whole, &s.classes[o.Class], &d.meter, s.group(o.Group)} {
 		m.offered(now, o.Resent)
 	}
 }
 
-// group is a caller group's meter. Where there are too many, one that has long been silent makes room, and
-// else the new one is not followed: what it does still counts in all other scopes.
-func (s *Storm) group(now time.Duration, hash uint64) *meter {
+// group is a caller group's meter. Where too many are followed, new ones share one until some have been silent for
+// a while: what they do still counts in all other scopes.
+func (s *Storm) group(hash uint64) *meter {
 	m := s.groups[hash]
-	if m != nil {
-		return m
+	if m == nil && len(s.groups) >= mostGroups {
+		return &s.others
 	}
-	m = &meter{scope: Scope{"group", groupName(hash)}}
-	if len(s.groups) < mostGroups {
+	if m == nil {
+		m = &meter{scope: Scope{"group", fmt.Sprintf("%016x", hash)}}
 		s.groups[hash] = m
 	}
 	return m
@@ -204,7 +192,7 @@
 func (s *Storm) Linked(now time.Duration, group uint64) {
 	now = s.tick(now)
 	s.whole.links.add(now, 1, fast)
-	s.group(now, group).links.add(now, 1, fast)
+	s.group(group).links.add(now, 1, fast)
 }
 
 // Tick follows all scopes; it is called a few times a second. It returns the changes since the last time.
@@ -222,9 +210,13 @@
 			delete(s.groups, hash)
 		}
 	}
+	s.follow(now, &s.others)
 	out := s.changes
 	s.changes = nil
-	sortChanges(out)
+	// In the order of their times and scopes, whatever map they came from.
+	slices.SortStableFunc(out, func(a, b Change) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Scope.Kind, b.Scope.Kind), cmp.Compare(a.Scope.Name, b.Scope.Name))
+	})
 	return out
 }
 
--- a/internal/storm/heavy.go
+++ b/internal/storm/heavy.go
@@ -1,64 +1,75 @@
 package storm
 
 import (
-	"cmp"
-	"fmt"
-	"slices"
+	"math"
 	"time"
 )
 
 // heavy finds the numbers that take more than their part of a destination's calls, in bounded memory: the
-// space-saving sketch of Metwally, Agrawal and El Abbadi (2005), with counts that fade.
+// space-saving sketch of Metwally, Agrawal and El Abbadi (2005). Counts fade by forward decay: what comes later
+// weighs more, so that no line has to be touched as time goes by.
 type heavy struct {
 	lines [mostHeavy]heavyLine
-	all   rate
+	all   float64
+	zero  time.Duration // when a call weighed 1
+	begun bool
 }
 
 type heavyLine struct {
 	number uint64
-	rate   rate
-	over   rate // what the line may have taken over from others
+	level  float64
+	over   float64 // what the line may have taken over from others
 }
 
 const (
-	heavyPart  = 0.3 // of a destination's calls
-	heavyLeast = 5.0 // calls a second
+	heavyPart  = 0.3  // of a destination's calls
+	heavyLeast = 5.0  // calls a second
+	heavyScale = 1e12 // weights are brought down before they grow over this
 )
 
+// weight is what a call weighs now.
+func (h *heavy) weight(now time.Duration) float64 {
+	if !h.begun {
+		h.begun, h.zero = true, now
+	}
+	w := math.Exp(float64(now-h.zero) / float64(fast))
+	if w > heavyScale {
+		for i := range h.lines {
+			h.lines[i].level /= w
+			h.lines[i].over /= w
+		}
+		h.all /= w
+		h.zero, w = now, 1
+	}
+	return w
+}
+
 // add counts a call.
 func (h *heavy) add(now time.Duration, number uint64) {
-	h.all.add(now, 1, fast)
-	least, low := &h.lines[0], h.lines[0].rate.get(now, fast)
+	w := h.weight(now)
+	h.all += w
+	least := &h.lines[0]
 	for i := range h.lines {
 		l := &h.lines[i]
 		if l.number == number {
-			l.rate.add(now, 1, fast)
+			l.level += w
 			return
 		}
-		if r := l.rate.get(now, fast); r < low {
-			least, low = l, r
+		if l.level < least.level {
+			least = l
 		}
 	}
-	least.number, least.over = number, rate{low, now}
-	least.rate.add(now, 1, fast)
+	least.number, least.over = number, least.level
+	least.level += w
 }
 
 // is tells whether a number is heavy for certain.
 func (h *heavy) is(now time.Duration, number uint64) bool {
 	for i := range h.lines {
 		if l := &h.lines[i]; l.number == number {
-			sure := l.rate.get(now, fast) - l.over.get(now, fast)
-			return sure > heavyLeast && sure > heavyPart*h.all.get(now, fast)
+			sure := l.level - l.over
+			return sure > heavyLeast*fast.Seconds()*h.weight(now) && sure > heavyPart*h.all
 		}
 	}
 	return false
 }
-
-func groupName(hash uint64) string { return fmt.Sprintf("%016x", hash) }
-
-// sortChanges puts changes in the order of their times and scopes, whatever map they came from.
-func sortChanges(list []Change) {
-	slices.SortStableFunc(list, func(a, b Change) int {
-		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Scope.Kind, b.Scope.Kind), cmp.Compare(a.Scope.Name, b.Scope.Name))
-	})
-}
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -111,6 +111,7 @@
 	dests   map[int]*dest
 	classes []meter
 	groups  map[uint64]*meter
+	others  meter // of groups over those that are followed
 	whole   meter
 	budget  budget
 	callers callers
@@ -123,6 +124,7 @@
 // served.
 func New(c Config) (*Storm, error) {
 	s := &Storm{begun: -1, dests: map[int]*dest{}, groups: map[uint64]*meter{}, adviser: newAdviser(c.Seed)}
+	s.whole.scope, s.others.scope = Scope{"all", ""}, Scope{"group", "others"}
 	if err := s.use(c); err != nil {
 		return nil, err
 	}
@@ -164,7 +166,6 @@
 func (s *Storm) tick(now time.Duration) time.Duration {
 	if s.begun < 0 {
 		s.begun, s.now = now, now
-		s.whole.scope = Scope{"all", ""}
 		s.note(Change{Scope: s.whole.scope, From: Calm, To: Recovering, Cause: "own start", At: now})
 		s.whole.enter(now, Recovering)
 	}
@@ -232,7 +233,7 @@
 		ignorer = false
 	}
 	v := Verdict{}
-	if r := s.rank(o, ignorer, d.heavy.is(now, o.Number)); s.Window && !d.fits(r) {
+	if r := s.rank(o, ignorer, d.heavy.is(now, o.Number)); s.Window && !d.fits(now, r) {
 		v.Reason = NoRoom
 		if r == rankIgnorer {
 			v.Reason = CameEarly
@@ -261,7 +262,7 @@
 
 // pressed tells whether a destination has no room to spare: its window is the bound, or its state is not calm.
 func (d *dest) pressed(now time.Duration) bool {
-	return d.state >= Storming || d.refused.get(now, fast) > pressedFrom*d.firsts.get(now, fast) || !d.fits(rankRedial)
+	return d.state >= Storming || d.refused.get(now, fast) > pressedFrom*d.firsts.get(now, fast) || !d.fits(now, rankRedial)
 }
 
 const pressedFrom = 0.02 // of the first tries find no room
@@ -335,6 +336,17 @@
 	d.open = max(0, d.open-1)
 }
 
+// Congested takes the congestion level that an exchange itself has told (Q.763, 3.4, or RFC 4666, 3.4.4).
+func (s *Storm) Congested(now time.Duration, number, level int) {
+	now = s.tick(now)
+	d := s.dest(number)
+	was := d.level
+	if d.congested(now, level); level > was {
+		s.note(Change{Scope: d.meter.scope, From: d.state, To: d.state, Cause: fmt.Sprintf("congestion level %d told", d.level),
+			At: now, Figures: d.figures(now)})
+	}
+}
+
 // Started takes word that an exchange has a new processor: what the one before could do proves nothing.
 func (s *Storm) Started(now time.Duration, number int) {
 	now = s.tick(now)
--- a/internal/storm/window.go
+++ b/internal/storm/window.go
@@ -50,6 +50,8 @@
 	asked    time.Duration // the first set-up after that
 	waiting  bool
 	backedAt time.Duration
+	level    int           // of congestion, as the exchange told it
+	levelTo  time.Duration // obeyed until then
 }
 
 // ramp starts the window again, from little, at the start and after an outage. Others start at the same time: the
@@ -59,8 +61,26 @@
 	w.ramps++
 }
 
+// eased is what congestion that the exchange itself has told leaves of the window, by its level. Worthy classes are
+// eased less.
+var eased = [4]float64{1, 0.5, 0.25, 0.1}
+
+// levelFor is how long a told level is obeyed: T30 of automatic congestion control (Q.764, 2.11), 5 to 10 s.
+const levelFor = 5 * time.Second
+
+// congested takes the level that the exchange has told; 0 lifts it.
+func (w *window) congested(now time.Duration, level int) {
+	w.level, w.levelTo = min(max(0, level), len(eased)-1), now+levelFor
+}
+
 // fits tells whether a call finds room.
-func (w *window) fits(r rank) bool { return float64(w.open) < max(1, w.size*parts[r]) }
+func (w *window) fits(now time.Duration, r rank) bool {
+	size := w.size * parts[r]
+	if w.level > 0 && now < w.levelTo && !(r == rankWorthy && w.level < 2) {
+		size *= eased[w.level]
+	}
+	return float64(w.open) < max(1, size)
+}
 
 // sent notes a set-up.
 func (w *window) sent(now time.Duration) {
