--- a/internal/core/damp.go
+++ b/internal/core/damp.go
@@ -92,8 +92,8 @@
 		e.Storm.Congested(e.now, c.Destination, o.Level)
 	}
 	full := o.Result == brookmux.ResultFull && o.Reason != brookmux.ReasonNoCircuit && o.Reason != brookmux.ReasonTurnedBack
-	lost := o.Result == brookmux.ResultTimeout || o.Result == brookmux.ResultReset || o.Result == brookmux.ResultConnectFailed
-	if full || lost {
+	// A reset tells of a connection, not of a line: where answers get lost the core may be idle.
+	if full || o.Result == brookmux.ResultTimeout {
 		e.Storm.Failed(e.now, c.Destination)
 	}
 }
--- a/internal/standin/attempt.go
+++ b/internal/standin/attempt.go
@@ -70,6 +70,10 @@
 	}
 	there.Proc.SetUp(live, func() {
 		if there.number == a.call.dest {
+			if m.Spoilt > 0 && m.rng.Float64() < m.Spoilt {
+				a.end(core.Outcome{Result: brookmux.ResultReset, Cause: core.TemporaryFailure}, resetAfter)
+				return
+			}
 			there.Proc.Do(there.Proc.Answer, live, a.answer)
 			return
 		}
--- a/internal/standin/mesh.go
+++ b/internal/standin/mesh.go
@@ -29,7 +29,8 @@
 	Hold        []time.Duration              // mean length of a call, by class
 	Settings    settings.Settings            // Here is set for each
 	Engine      func(exchange int, c *core.Config)
-	Reports     bool // processors report their wait
+	Reports     bool    // processors report their wait
+	Spoilt      float64 // share of the set-ups whose answers are lost in a reset
 	Seed        uint64
 	Log         *slog.Logger
 }
--- a/internal/standin/processor.go
+++ b/internal/standin/processor.go
@@ -33,6 +33,7 @@
 	busy    bool
 	epoch   int // counts starts: what an earlier process began never ends
 	stalled bool
+	slow    float64   // it does this part of its work, 0 for all
 	arrived []arrival // set-ups of the last FallAfter, while cold
 
 	Worst  time.Duration // longest wait that a set-up met
@@ -55,7 +56,7 @@
 
 // Restart puts a cold one in its place.
 func (p *Processor) Restart() {
-	p.since, p.queue, p.pending, p.busy, p.stalled, p.Fell, p.arrived = p.clock.Now(), nil, 0, false, false, false, nil
+	p.since, p.queue, p.pending, p.busy, p.stalled, p.slow, p.Fell, p.arrived = p.clock.Now(), nil, 0, false, false, 0, false, nil
 	p.epoch++
 }
 
@@ -71,8 +72,27 @@
 	})
 }
 
+// Slow lets it do a part of its work for a while.
+func (p *Processor) Slow(part float64, d time.Duration) {
+	p.slow = part
+	epoch := p.epoch
+	p.clock.After(d, func() {
+		if p.epoch == epoch {
+			p.slow = 0
+		}
+	})
+}
+
 // Speed is the share of its work that it does now.
 func (p *Processor) Speed() float64 {
+	if p.slow > 0 {
+		return p.slow * p.warmth()
+	}
+	return p.warmth()
+}
+
+// warmth is the share of its work that a cold one does by now.
+func (p *Processor) warmth() float64 {
 	age := p.clock.Now() - p.since
 	if p.since == 0 || age >= p.WarmWithin {
 		return 1
@@ -120,7 +140,7 @@
 
 // cold counts a set-up that reaches a cold processor, and pushes it over where they are too many.
 func (p *Processor) cold() {
-	speed, now := p.Speed(), p.clock.Now()
+	speed, now := p.warmth(), p.clock.Now()
 	if speed == 1 || p.FallMultiple <= 0 {
 		p.arrived = nil
 		return
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -49,16 +49,15 @@
 
 // The reasons of a Verdict.
 const (
-	Admitted        Reason = iota
-	NoRoom                 // the destination's window is full
-	OverspentRedial        // a redial, and the retry budget is spent
-	CameEarly              // a caller who ignores advice, while there is not room for all
+	Admitted  Reason = iota
+	NoRoom           // the destination's window is full
+	CameEarly        // a caller who ignores advice, while there is not room for all
 	reasons
 )
 
 // String returns the reason's name.
 func (r Reason) String() string {
-	return [...]string{"admitted", "no room", "retry budget spent", "advice ignored"}[r]
+	return [...]string{"admitted", "no room", "advice ignored"}[r]
 }
 
 // Offer is a call that has come.
@@ -241,13 +240,6 @@
 		if r == rankFirst || r == rankWorthy {
 			d.refused.add(now, 1, fast)
 		}
-	} else if s.Budget && o.Resent && !o.Transit && d.pressed(now) {
-		if d.budget.has(now) && s.budget.has(now) {
-			d.budget.spend()
-			s.budget.spend()
-		} else {
-			v.Reason = OverspentRedial
-		}
 	}
 	if v.Reason != Admitted {
 		s.counts.Turned[v.Reason]++
@@ -260,13 +252,6 @@
 	return v
 }
 
-// pressed tells whether a destination has no room to spare: its window is the bound, or its state is not calm.
-func (d *dest) pressed(now time.Duration) bool {
-	return d.state >= Storming || d.refused.get(now, fast) > pressedFrom*d.firsts.get(now, fast) || !d.fits(now, rankRedial)
-}
-
-const pressedFrom = 0.02 // of the first tries find no room
-
 // Advise returns how long a caller whom the decision module turns away should stay away.
 func (s *Storm) Advise(now time.Duration, number int, caller uint64) time.Duration {
 	now = s.tick(now)
--- a/internal/stormlab/scenario.go
+++ b/internal/stormlab/scenario.go
@@ -28,6 +28,15 @@
 	Do func(m *standin.Mesh) error
 }
 
+func slow(part float64, d time.Duration, who ...int) func(*standin.Mesh) error {
+	return func(m *standin.Mesh) error {
+		for _, i := range who {
+			m.Node(i).Proc.Slow(part, d)
+		}
+		return nil
+	}
+}
+
 // steps join steps at one time.
 func steps(f ...func(m *standin.Mesh) error) func(m *standin.Mesh) error {
 	return func(m *standin.Mesh) error {
@@ -115,6 +124,13 @@
 		}}
 }
 
+// busy is a mesh with six times the calls.
+func busy(name, about string, back time.Duration, script ...Step) Scenario {
+	s := mesh(name, 6*0.97, usual(0.3), about, back, script...)
+	s.Mesh = func(seed uint64) standin.Config { return standin.MeshDay(exchanges, 6*planned, seed) }
+	return s
+}
+
 func usual(ignore float64) func(int) standin.Habit {
 	return func(int) standin.Habit {
 		h := standin.Impatient(ignore)
@@ -147,6 +163,10 @@
 		one("one-no-advice", 50, 0.3, "at 111%, the settings bound advice to 0", func(c *standin.Config) {
 			c.Settings.Module.RetryAfter, c.Settings.Module.MaxRetryAfter = false, 0
 		}),
+		one("one-spoilt", 40, 0.3, "at 89%, half of the answers are lost in resets", func(c *standin.Config) { c.Spoilt = 0.5 }),
+		one("one-picky", 50, 0.3, "at 111%, a core that turns set-ups away from a wait of 0.2 s on", func(c *standin.Config) {
+			c.Lines[1].TurnAway, c.Lines[1].Refuse = 200*time.Millisecond, 8*time.Millisecond
+		}),
 		mesh("mesh", 0.97, usual(0.3), "seven controllers at 97%, three killed for 5 s", 25*second, outage...),
 		mesh("mesh-cold", 0.97, usual(0.3), "the same, with cold processors after it", 25*second, cold...),
 		mesh("mesh-again", 0.97, usual(0.3), "cold, and a second outage 6 s into recovery", 36*second, again...),
@@ -157,6 +177,10 @@
 			Step{25 * second, replace(three...)}),
 		mesh("mesh-number", 1.1, number, "at 110%, half of all calls to one number; three killed for 5 s", 25*second, outage...),
 		mesh("mesh-elsewhere", 0.97, elsewhere, "cold, with shared addresses and redials through other controllers", 25*second, cold...),
+		mesh("mesh-slow", 0.97, usual(0.3), "three processors three times slower for 20 s", 20*second,
+			Step{20 * second, slow(0.33, 20*second, three...)}),
+		busy("busy-cold", "seven exchanges with six times the calls, all cold at once", 25*second,
+			Step{20 * second, kill(all...)}, Step{25 * second, steps(replace(all...), start(all...))}),
 		mesh("mesh-stall", 0.97, usual(0.3), "one processor takes set-ups and answers none for 10 s", 30*second,
 			Step{20 * second, stall(10*second, 2)}),
 	}
