Storm state by gNMI, recorded exchanges of what is told, and storms as tests in virtual time

A destination that was never listed is told as unavailable.

A controller whose clock had stepped back was asked again at the same moment for ever by the stand-in: found by the test, mended there.

--- a/cmd/brookmux/manage.go
+++ b/cmd/brookmux/manage.go
@@ -230,6 +230,9 @@
 				"withdrawn": n.Withdrawn + n.CallerLost, "sent": n.Sent, "cut": n.Cut, "guards": n.Guards} {
 				ops = append(ops, store.Op{Path: base + "counters/" + name, Value: strconv.Itoa(v)})
 			}
+			if m.grpc != nil { // else nobody reads it
+				ops = append(ops, stormOps(base+"storm/", n.Storm)...)
+			}
 			ctx, cancel := context.WithTimeout(ctx, publishWithin)
 			if _, err := m.store.Apply(ctx, store.Change{Ops: ops}); err != nil {
 				m.log.Warn("state not kept", "error", err)
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -6,6 +6,7 @@
 
 	"brookmux"
 	"brookmux/internal/settings"
+	"brookmux/internal/storm"
 )
 
 var noReport = settings.NoReport()
@@ -17,6 +18,13 @@
 	Sent, LateAnswers, Unheard, Ignored, Strays, HungUp, Cut int
 	Results                                                  [8]int // of attempts that did not stand, by brookmux.Result
 	Guards                                                   int
+	Storm                                                    *Storm // nil where storms are not seen
+}
+
+// Storm is what there is to tell of storms.
+type Storm struct {
+	storm.Counts
+	Scopes []storm.Status // the whole, the classes and the exchanges
 }
 
 // outcome counts the end of an attempt.
@@ -84,6 +92,9 @@
 // report writes the totals to the log now and then.
 func (e *Engine) report() {
 	e.logCounts()
+	if e.Storm != nil && e.Reports != nil {
+		e.counts.Storm = &Storm{e.Storm.Counts(), e.Storm.Statuses(e.now)}
+	}
 	select {
 	case e.Reports <- e.counts: // a nil channel never has room
 	default:
@@ -101,6 +112,11 @@
 			"error", n.Results[brookmux.ResultError], "full", n.Results[brookmux.ResultFull],
 			"timeout", n.Results[brookmux.ResultTimeout], "connect", n.Results[brookmux.ResultConnectFailed],
 			"reset", n.Results[brookmux.ResultReset], "moot", n.Results[brookmux.ResultMoot]))
+	if e.Storm != nil {
+		s := e.Storm.Counts()
+		e.Config.Log.Info("storm counts", "offered", s.Offered, "redials", s.Redials, "ignorers", s.Ignorers,
+			"no_room", s.Turned[storm.NoRoom], "came_early", s.Turned[storm.CameEarly], "vetoed", s.Vetoed, "ramps", s.Ramps)
+	}
 }
 
 // debug logs what came of an attempt.
--- a/internal/core/damp.go
+++ b/internal/core/damp.go
@@ -145,12 +145,18 @@
 	}
 }
 
-// Conditions has all conditions told again.
+// Conditions has all conditions told again, and returns when that is done.
 func (e *Engine) Conditions() {
+	told := make(chan struct{})
 	e.post(func() {
 		clear(e.told)
 		e.tellConditions()
+		close(told)
 	})
+	select {
+	case <-told:
+	case <-e.done:
+	}
 }
 
 // Congested takes the congestion level that a core has told.
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -121,6 +121,17 @@
 // nothing. Calls under way go on with what they were taken with.
 func (e *Engine) Configure(s settings.Settings, mostBytes int64) error {
 	done := make(chan error, 1)
+	e.ConfigureLater(s, mostBytes, func(err error) { done <- err })
+	select {
+	case err := <-done:
+		return err
+	case <-e.done:
+		return errors.New("core: has ended")
+	}
+}
+
+// ConfigureLater is Configure without the wait: then is told, in the owner's goroutine.
+func (e *Engine) ConfigureLater(s settings.Settings, mostBytes int64, then func(error)) {
 	e.post(func() {
 		next := s.After(e.Settings)
 		err := e.ctl.Configure(withMargin(next.Module))
@@ -132,14 +143,8 @@
 			e.name()
 			e.mostBytes.Store(mostBytes)
 		}
-		done <- err
+		then(err)
 	})
-	select {
-	case err := <-done:
-		return err
-	case <-e.done:
-		return errors.New("core: has ended")
-	}
 }
 
 // post hands an event to the owner; readers wait here while the queue is full. After the owner has ended
--- a/internal/m3ua/network.go
+++ b/internal/m3ua/network.go
@@ -72,36 +72,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for pc, number := range s.exchanges {
-		was, known := s.conditions[pc]
-		if number != exchange || known && was == c {
+		was := s.conditions[pc]
+		if number != exchange || was == c {
 			continue
 		}
 		s.conditions[pc] = c
-		if !s.TellNetwork || !known && c == (core.Condition{Available: true}) {
-			continue
-		}
-		var say []Message
 		for _, m := range conditions(s.RoutingContext, pc, c) {
-			if m.Type == typeDAVA && known && was.Available || m.Type == typeSCON && was.Level == c.Level {
+			if !s.TellNetwork || m.Type == typeDAVA && was.Available || m.Type == typeSCON && was.Level == c.Level {
 				continue
 			}
-			say = append(say, m)
-		}
-		for _, p := range s.peers {
-			p.tell(say)
+			for _, p := range s.peers {
+				p.tell(m)
+			}
 		}
 	}
 }
 
-// tell sends messages on the peer's active association, if there is one.
-func (p *peer) tell(list []Message) {
+// tell sends a message on the peer's active association, if there is one.
+func (p *peer) tell(m Message) {
 	p.mu.Lock()
 	x := p.session
 	p.mu.Unlock()
-	for _, m := range list {
-		if x != nil {
-			x.say(m)
-		}
+	if x != nil {
+		x.say(m)
 	}
 }
 
@@ -113,12 +106,10 @@
 	if !s.TellNetwork {
 		return
 	}
-	for pc, c := range s.conditions {
-		if c == (core.Condition{Available: true}) {
-			continue
-		}
+	for pc := range s.exchanges {
+		c := s.conditions[pc] // one that was never listed can't be reached
 		for _, m := range conditions(s.RoutingContext, pc, c) {
-			if m.Type != typeDAVA {
+			if m.Type == typeDUNA || m.Type == typeSCON && c.Level > 0 {
 				x.say(m)
 			}
 		}
@@ -153,10 +144,7 @@
 				continue
 			}
 			found = true
-			c, known := s.conditions[pc]
-			if !known {
-				c = core.Condition{Available: true}
-			}
+			c := s.conditions[pc]
 			for _, m := range conditions(s.RoutingContext, pc, c) {
 				if m.Type != typeSCON || c.Level > 0 {
 					x.say(m)
--- a/internal/playback/playback.go
+++ b/internal/playback/playback.go
@@ -21,7 +21,8 @@
 // stands the call whose connection is meant, else it is that of the last message.
 //
 // The first lines name who is there, "cores 1 2", "m3ua 5", and may say how many descriptors the program has,
-// "sockets 12", and that gNMI goes by "tls".
+// "sockets 12", that gNMI goes by "tls", and that storms are damped and told in all forms, "storm 8" with the number
+// of controllers.
 //
 // When the steps are over the program is stopped. Nothing that no step expected may have arrived by then,
 // and the ledger of all that was seen must keep the rules.
@@ -145,7 +146,8 @@
 
 // open sets the actors up and starts the program.
 func (s *stage) open(head string, start Program) {
-	sockets, listed := "1024", ""
+	sockets, listed, instances := "1024", "", "2"
+	storm := "enabled = false\n"
 	toml := "enabled = true\nlisten = \"127.0.0.1:0\"\npoint_code = 100\nrouting_context = 1\n" +
 		"[timers]\ngone_ms = 1000\n" +
 		"[[class]]\ncategory = 10\nname = \"page\"\n[[class]]\ncategory = 11\nname = \"update\"\n" +
@@ -153,6 +155,10 @@
 		"[[peer]]\nasp = 1\npoint_code = 201\n[[peer]]\nasp = 2\npoint_code = 105\n"
 	for line := range strings.SplitSeq(head, "\n") {
 		kind, numbers, _ := strings.Cut(line, " ")
+		if kind == "storm" { // with all its forms, before so many controllers
+			storm = "enabled = true\n[told]\nretry_after = true\nlevel = true\nnetwork = true\n"
+			instances = numbers
+		}
 		if kind == "tls" {
 			s.tls = newAuthority(s.t)
 		}
@@ -175,13 +181,14 @@
 	dir := s.t.TempDir()
 	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,
 "sockets":%s},"nameserver":%q,"known":{"rev":1,"notices":[{"rev":1,"pool":{"revision":1,"complete":true,"members":[%s]}}]},
-"settings":{"instances":2,"classes":[{"name":"page","aimMs":1500,"deadlineMs":9000,"gain":1},
+"settings":{"instances":%s,"classes":[{"name":"page","aimMs":1500,"deadlineMs":9000,"gain":1},
 {"name":"update","aimMs":1000,"deadlineMs":6000,"gain":8}],"zones":["east"],"loadReport":{"how":"piggyback",
 "names":["idle","circuits","avg_ms"]},"permissions":{"maxAttempts":6,"retryAfter":true,"maxRetryAfterMs":2000,
 "connectTimeoutMs":500},"rules":{"warmWithinMs":14000,"coldFrom":0.3,"fallMultiple":4},"specifics":{"here":0,
-"releaseGuardMs":300}}}`, sockets, s.names.LocalAddr(), strings.TrimPrefix(listed, ","))
+"releaseGuardMs":300}}}`, sockets, s.names.LocalAddr(), strings.TrimPrefix(listed, ","), instances)
 	env := map[string]string{"GW_CONFIG": filepath.Join(dir, "config.json"), "BROOKMUX_M3UA": filepath.Join(dir, "m3ua.toml"),
-		"BROOKMUX_STORE": filepath.Join(dir, "store.toml")}
+		"BROOKMUX_STORE": filepath.Join(dir, "store.toml"), "BROOKMUX_STORM": filepath.Join(dir, "storm.toml")}
+	require.NoError(s.t, os.WriteFile(env["BROOKMUX_STORM"], []byte(storm), 0o600))
 	require.NoError(s.t, os.WriteFile(env["GW_CONFIG"], []byte(config), 0o600))
 	require.NoError(s.t, os.WriteFile(env["BROOKMUX_M3UA"], []byte(toml), 0o600))
 	store := "gnmi = \"127.0.0.1:0\"\n"
--- a/internal/standin/mesh.go
+++ b/internal/standin/mesh.go
@@ -16,6 +16,7 @@
 	dayStart   = time.Hour              // of the virtual clock: processors that started earlier did so long ago
 	resetAfter = 50 * time.Millisecond  // until the far end of a connection sees that its process has died
 	listedLate = 500 * time.Millisecond // until controllers hear that a processor was replaced
+	minStep    = time.Microsecond       // a controller that waits for its clock asks no sooner
 	loadEvery  = 300 * time.Millisecond // between two looks at a processor's wait that reports tell
 )
 
@@ -65,7 +66,8 @@
 	start  int // counts processors that stood here: part of the switch's id
 	waits  float64
 	engine *core.Engine
-	epoch  int // counts the controller's starts
+	clock  func() time.Duration // the controller's own
+	epoch  int                  // counts the controller's starts
 	kicked bool
 	wake   time.Duration
 	out    map[string]*attempt // by key, sent from here
@@ -138,6 +140,7 @@
 	if err != nil {
 		return fmt.Errorf("standin: controller %d: %w", i, err)
 	}
+	n.clock = c.Clock
 	n.engine, n.out, n.open, n.wake = e, map[string]*attempt{}, map[*try]struct{}{}, 0
 	n.epoch++
 	e.Listed(m.list())
@@ -165,6 +168,23 @@
 	}
 }
 
+// Reconfigure puts other settings in force at a controller; the error that comes of it stands there once the
+// controller has taken them.
+func (m *Mesh) Reconfigure(i int, s settings.Settings) *error {
+	out := new(error)
+	n := m.nodes[i]
+	s.Module.Here = n.number
+	n.event(func(e *core.Engine) { e.ConfigureLater(s, 0, func(err error) { *out = err }) })
+	return out
+}
+
+// Drain lets a controller finish what is open, while callers go on calling it; the channel closes then.
+func (m *Mesh) Drain(i int) <-chan struct{} {
+	n := m.nodes[i]
+	defer n.kick()
+	return n.engine.Drain()
+}
+
 // Replace puts a cold processor in the place of the one at an exchange.
 func (m *Mesh) Replace(i int) {
 	n := m.nodes[i]
@@ -203,7 +223,8 @@
 		if n.engine == nil {
 			return
 		}
-		next, now := n.engine.Step(), n.mesh.Now()
+		now := n.mesh.Now()
+		next := now + max(minStep, n.engine.Step()-n.clock()) // its clock may be off
 		if n.wake > now && n.wake <= next {
 			return
 		}
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -345,16 +345,22 @@
 // Counts are the totals.
 func (s *Storm) Counts() Counts { return s.counts }
 
+// levelLeast is how many first tries a second without room are worth telling.
+const levelLeast = 0.2
+
 // Level is the congestion level of a destination as ISUP counts it (Q.763, 3.4): 0 for none, 1, or 2.
 func (s *Storm) Level(now time.Duration, number int) int {
 	d := s.dests[number]
 	if d == nil {
 		return 0
 	}
+	if d.refused.get(now, fast) < levelLeast { // it has passed
+		return 0
+	}
 	switch part := share(d.refused.get(now, fast), d.firsts.get(now, fast)); {
 	case part > 0.4:
 		return 2
-	case part > 0.1 || d.state == Storming:
+	case part > 0.1:
 		return 1
 	}
 	return 0
--- a/internal/stormlab/play.go
+++ b/internal/stormlab/play.go
@@ -45,7 +45,7 @@
 	out := Result{Scenario: s.Name, Variant: variant, Seed: seed, To90: -1}
 	c := s.Mesh(seed)
 	var err error
-	if c.Engine, err = engine(variant, &out.Changes); err != nil {
+	if c.Engine, err = engine(variant, &out); err != nil {
 		return out, err
 	}
 	m, err := standin.NewMesh(c)
--- a/internal/stormlab/scenario.go
+++ b/internal/stormlab/scenario.go
@@ -200,7 +200,7 @@
 var Variants = []string{"off", "on", "no-window", "no-budget", "no-advice", "no-callers", "no-cold"}
 
 // engine sets what a variant makes of a controller.
-func engine(variant string, seen *[]storm.Change) (func(int, *core.Config), error) {
+func engine(variant string, out *Result) (func(int, *core.Config), error) {
 	parts := storm.Config{Window: true, Budget: true, Advice: true, Callers: true, Cold: true}
 	switch variant {
 	case "off":
@@ -225,7 +225,7 @@
 		s, err := storm.New(core.StormConfig(p, c.Settings))
 		if err == nil { // the settings are the scenario's own
 			c.Storm = s
-			c.Changed = func(x storm.Change) { *seen = append(*seen, x) }
+			c.Changed = func(x storm.Change) { out.Changes = append(out.Changes, x) }
 		}
 	}, nil
 }
