--- a/cmd/stormlab/main.go
+++ b/cmd/stormlab/main.go
@@ -22,6 +22,7 @@
 type commands struct {
 	List listCommand `cmd:"" help:"List the scenarios and variants."`
 	Run  runCommand  `cmd:"" help:"Play scenarios in virtual time, over seeds and variants."`
+	Real realCommand `cmd:"" help:"Play the one-core experiment on real sockets against the program, with SIGKILL and a restart."`
 	Show showCommand `cmd:"" help:"Play one scenario once and print its states and shares second by second."`
 }
 
--- a/internal/sipfront/pace.go
+++ b/internal/sipfront/pace.go
@@ -18,6 +18,7 @@
 	next    uint64
 	waiting map[uint64]net.Conn
 	timer   *time.Timer
+	closed  bool
 }
 
 // SetPace gives new connections their turn; it is called before Serve.
@@ -33,6 +34,11 @@
 		return
 	}
 	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		nc.Close()
+		return
+	}
 	p.next++
 	served, waits := p.pacer.Come(time.Since(p.origin), maphash.String(f.seed, group(nc)), p.next)
 	if waits {
@@ -54,16 +60,12 @@
 func (f *Front) turns() {
 	p := f.paced
 	p.mu.Lock()
-	served, late, again := p.pacer.Next(time.Since(p.origin))
-	var take, end []net.Conn
-	for _, id := range served {
-		take = append(take, p.waiting[id])
-		delete(p.waiting, id)
-	}
-	for _, id := range late {
-		end = append(end, p.waiting[id])
-		delete(p.waiting, id)
+	if p.closed { // the timer had fired before the close
+		p.mu.Unlock()
+		return
 	}
+	served, late, again := p.pacer.Next(time.Since(p.origin))
+	take, end := p.leave(served), p.leave(late)
 	if p.timer = nil; again > 0 {
 		p.timer = time.AfterFunc(again, f.turns)
 	}
@@ -76,10 +78,21 @@
 	}
 }
 
-// close ends the connections that wait.
+// leave takes connections off those that wait. The lock is held.
+func (p *paced) leave(ids []uint64) []net.Conn {
+	var out []net.Conn
+	for _, id := range ids {
+		out = append(out, p.waiting[id])
+		delete(p.waiting, id)
+	}
+	return out
+}
+
+// close ends the connections that wait, and those that come after.
 func (p *paced) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
 	for id, nc := range p.waiting {
 		nc.Close()
 		delete(p.waiting, id)
--- /dev/null
+++ b/internal/standin/loopback/callers.go
@@ -0,0 +1,155 @@
+package loopback
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Load is what callers do.
+type Load struct {
+	Rate    float64 // calls a second
+	Redials int
+	Ignore  float64 // share of the callers that ignore advice
+	Aim     time.Duration
+	Give    time.Duration // they give a call up after this
+	Seed    uint64
+}
+
+// Call is what became of a caller's wish.
+type Call struct {
+	At    time.Duration // of its first try, from the start
+	Stood time.Duration // how long after that it stood, 0 if never
+	Tries int
+	Told  []time.Duration
+}
+
+// Callers call an address, each try on a connection of its own.
+type Callers struct {
+	Load
+	to    string
+	began time.Time
+	mu    sync.Mutex
+	calls []*Call
+	keys  uint64
+}
+
+// Call lets callers call until the context ends, and returns what became of them once the last has given up.
+func (l Load) Call(ctx context.Context, to string) []*Call {
+	c := &Callers{Load: l, to: to, began: time.Now(), keys: l.Seed << 32}
+	rng := rand.New(rand.NewPCG(l.Seed, 11))
+	var all sync.WaitGroup
+	for at := c.began; ctx.Err() == nil; {
+		at = at.Add(time.Duration(rng.ExpFloat64() / l.Rate * float64(time.Second)))
+		select {
+		case <-time.After(time.Until(at)):
+			own := rand.New(rand.NewPCG(rng.Uint64(), 12))
+			all.Go(func() { c.caller(own) })
+		case <-ctx.Done():
+		}
+	}
+	all.Wait()
+	return c.calls
+}
+
+// caller makes a call with its further tries.
+func (c *Callers) caller(rng *rand.Rand) {
+	first, ignores, number := time.Now(), rng.Float64() < c.Ignore, rng.Uint64()|1
+	k := &Call{At: first.Sub(c.began)}
+	for k.Tries <= c.Redials {
+		k.Tries++
+		patience := time.Duration((0.3 + 0.1*rng.Float64()) * float64(c.Give))
+		stood, told := c.try(number, k.Tries > 1, min(patience, c.Give-time.Since(first)))
+		if stood {
+			k.Stood = max(1, time.Since(first))
+			break
+		}
+		if told > 0 {
+			k.Told = append(k.Told, told)
+		}
+		wait := told
+		if wait == 0 || ignores {
+			wait = 300*time.Millisecond + time.Duration(rng.Float64()*float64(900*time.Millisecond))
+		}
+		if time.Since(first)+wait >= c.Give {
+			break
+		}
+		time.Sleep(wait)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls = append(c.calls, k)
+}
+
+// try makes one set-up, and tells whether it stood, and else how long to stay away if that was said.
+func (c *Callers) try(number uint64, resent bool, left time.Duration) (bool, time.Duration) {
+	until := time.Now().Add(left)
+	conn, err := net.DialTimeout("tcp", c.to, left)
+	if err != nil {
+		return false, 0
+	}
+	c.mu.Lock()
+	c.keys++
+	key := fmt.Sprintf("%016x", c.keys)
+	c.mu.Unlock()
+	mark := ""
+	if resent {
+		mark = "X-Resent: 1\r\n"
+	}
+	fmt.Fprintf(conn, "INVITE sip:%016x@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: %s\r\nCSeq: 1 INVITE\r\nX-Tier: page\r\n"+
+		"X-Deadline: %d\r\n%sX-Attrs: dest:1;width:1;via:-1\r\nContent-Length: 0\r\n\r\n", number, key, left.Milliseconds(), mark)
+	r := textproto.NewReader(bufio.NewReader(conn))
+	for {
+		if err := conn.SetReadDeadline(until); err != nil {
+			break
+		}
+		status, wait, err := answer(r)
+		if err != nil {
+			break
+		}
+		if status >= 200 && status < 300 {
+			fmt.Fprintf(conn, "ACK sip:peer@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: %s\r\nCSeq: 1 ACK\r\nContent-Length: 0\r\n\r\n", key)
+			time.AfterFunc(2*holds, func() { conn.Close() }) // the release comes meanwhile
+			return true, 0
+		}
+		if status >= 300 {
+			conn.Close()
+			return false, wait
+		}
+	}
+	fmt.Fprintf(conn, "CANCEL sip:peer@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: %s\r\nCSeq: 1 CANCEL\r\nContent-Length: 0\r\n\r\n", key)
+	conn.Close()
+	return false, 0
+}
+
+// answer reads one answer with its body.
+func answer(r *textproto.Reader) (status int, wait time.Duration, err error) {
+	line, err := r.ReadLine()
+	if err != nil {
+		return 0, 0, err
+	}
+	h, err := r.ReadMIMEHeader()
+	if err != nil {
+		return 0, 0, err
+	}
+	n, _ := strconv.Atoi(h.Get("Content-Length")) // none: no body
+	if _, err := r.R.Discard(n); err != nil {
+		return 0, 0, err
+	}
+	parts := strings.Fields(line)
+	if len(parts) < 2 {
+		return 0, 0, fmt.Errorf("loopback: status line %q", line)
+	}
+	if status, err = strconv.Atoi(parts[1]); err != nil {
+		return 0, 0, fmt.Errorf("loopback: status line %q", line)
+	}
+	ms, _ := strconv.Atoi(h.Get("X-Cooldown")) // not said: 0
+	return status, time.Duration(ms) * time.Millisecond, nil
+}
