--- a/internal/core/damp.go
+++ b/internal/core/damp.go
@@ -45,6 +45,13 @@
 	return false
 }
 
+// Linked takes word of a new connection or association of a caller group.
+func (e *Engine) Linked(group string) {
+	if e.Storm != nil { // set before Run, and for good
+		e.post(func() { e.Storm.Linked(e.now, e.hash(group)) })
+	}
+}
+
 // hash is that of a name from outside: nobody can aim at a line of a table.
 func (e *Engine) hash(s string) uint64 { return siphash.Hash(e.Seed, e.Seed>>7, []byte(s)) }
 
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -16,6 +16,7 @@
 
 // Engine is what the server hands requests to. *core.Engine is one.
 type Engine interface {
+	Linked(group string)
 	Offer(r core.Request)
 	CallerLost(who core.Caller, keys []string)
 	Hangup(who core.Caller, key string, cause core.Cause, then func(known bool))
@@ -120,6 +121,7 @@
 	}
 	x.changed = func(to State) {
 		if p.changed(x, to == Active); to == Active {
+			s.engine.Linked(p.name())
 			p.brief(x)
 		}
 		s.log.Info("m3ua association", "asp", p.ASP, "state", to.String())
@@ -180,6 +182,9 @@
 	}
 }
 
+// name is the peer's as a caller group.
+func (p *peer) name() string { return fmt.Sprintf("point code %d", p.PointCode) }
+
 // group returns the circuits to a point code.
 func (p *peer) group(dpc uint32) *group {
 	p.mu.Lock()
@@ -259,7 +264,7 @@
 		w.Refuse(key, core.Verdict{Cause: causeInvalidNumber})
 		return
 	}
-	r := core.Request{Group: fmt.Sprintf("point code %d", p.PointCode), Key: key, Class: class, Number: m.number, Left: m.left, Destination: destination, Width: 1,
+	r := core.Request{Group: p.name(), Key: key, Class: class, Number: m.number, Left: m.left, Destination: destination, Width: 1,
 		Via: -1, Description: m.description, Caller: w}
 	if from, ok := s.exchanges[p.PointCode]; ok {
 		r.Transit, r.Via = true, from
--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -27,6 +27,7 @@
 
 // Engine is what the front hands requests to. *core.Engine is one.
 type Engine interface {
+	Linked(group string)
 	Offer(r core.Request)
 	Withdraw(who core.Caller, key string, then func(open, known bool))
 	CallerLost(who core.Caller, keys []string)
@@ -96,7 +97,10 @@
 	}
 	c := newConn(f, nc)
 	f.conns[c] = struct{}{}
-	go c.serve(stream.NewReader(nc))
+	go func() {
+		f.engine.Linked(c.group)
+		c.serve(stream.NewReader(nc))
+	}()
 }
 
 // SetMost sets how many connections may be held; those over it go as their turn comes to make room.
--- a/internal/sipfront/pace_test.go
+++ b/internal/sipfront/pace_test.go
@@ -18,13 +18,18 @@
 
 const options = "OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: %016x\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n"
 
+// engine takes connections and nothing else.
+type engine struct{ Engine }
+
+func (engine) Linked(string) {}
+
 // TestReconnects: one group reconnects by thousands, with what 256 descriptors leave for callers; another is
 // served all the while, and no connection is held beside those that may be.
 func TestReconnects(t *testing.T) {
 	const most, waiting = 256 / 3, 20
 	phase := &lifecycle.Lifecycle{}
 	require.NoError(t, phase.To(lifecycle.Ready))
-	f := New(nil, phase, most-waiting, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	f := New(engine{}, phase, most-waiting, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	p, err := storm.NewPacer(storm.Pace{PerSecond: 400, Burst: 20, Waiting: waiting})
 	require.NoError(t, err)
 	f.SetPace(p)
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -139,6 +139,7 @@
 	at.open[t] = struct{}{}
 	at.Proc.Do(at.Proc.Look, nil, nil)
 	at.event(func(e *core.Engine) {
+		e.Linked(k.host) // a connection for each try
 		e.Offer(core.Request{Key: t.key, Class: m.Settings.ClassNames[k.Class], Number: k.number, Left: t.left,
 			Destination: k.Dest, Width: 1, Via: -1, Caller: t, Group: k.host, Resent: k.Tries > 1})
 	})
--- a/internal/storm/detect.go
+++ b/internal/storm/detect.go
@@ -51,6 +51,7 @@
 
 	risingOver = 1.3 // times the usual rate
 	stormOver  = 1.7
+	linksOver  = 2    // new connections, times the usual rate
 	risingPart = 0.15 // redials among the calls
 	stormPart  = 0.35
 	lateRising = 1500 * time.Millisecond // a state must be asked for so long: bursts are not storms
@@ -67,6 +68,7 @@
 	usual  usual
 	again  rate
 	links  rate
+	linked usual // links a second
 	wanted State
 	wantAt time.Duration
 	seen   time.Duration
@@ -115,6 +117,8 @@
 		return Rising, "calls over the usual rate"
 	case f.Redials > risingPart:
 		return Rising, "redials"
+	case m.linked.rate() > 0 && f.Links > linksOver*max(m.linked.rate(), leastRate):
+		return Rising, "new connections over the usual rate"
 	}
 	return Calm, "usual rate"
 }
@@ -143,6 +147,7 @@
 	want, cause := m.judge(now)
 	f := m.figures(now)
 	m.usual.learn(now, f.Offered*(1-f.Redials), m.state == Calm && want == Calm)
+	m.linked.learn(now, f.Links, m.state == Calm && want == Calm)
 	if want != m.wanted {
 		m.wanted, m.wantAt = want, now
 	}
--- a/internal/storm/storm_test.go
+++ b/internal/storm/storm_test.go
@@ -228,6 +228,25 @@
 	require.InDelta(t, usual, s.whole.usual.rate(), 2)
 }
 
+// TestLinks: connections that come many times as often as usual make the scope rise, though no call is offered.
+func TestLinks(t *testing.T) {
+	s, now := newStorm(t, config()), time.Hour
+	causes := map[string]bool{}
+	play := func(span, every time.Duration) {
+		for end := now + span; now < end; now += every {
+			s.Linked(now, uint64(now)) // each from another address
+			for _, c := range s.Tick(now) {
+				causes[c.Scope.Kind+": "+c.Cause] = true
+			}
+		}
+	}
+	play(30*time.Second, 100*time.Millisecond)
+	require.False(t, causes["all: new connections over the usual rate"])
+	play(5*time.Second, 10*time.Millisecond)
+	require.True(t, causes["all: new connections over the usual rate"])
+	require.LessOrEqual(t, len(s.groups), mostGroups)
+}
+
 // TestHeavy: the number that takes half of the calls is found among thousands of others, and they are not.
 func TestHeavy(t *testing.T) {
 	var h heavy
