Loopback callers answer releases that come on any connection

Cause: the stand-in callers took the release of another call, which may come first on any new connection, for an answer that can't be read, and cancelled.

--- a/internal/standin/loopback/callers.go
+++ b/internal/standin/loopback/callers.go
@@ -106,22 +106,24 @@
 	fmt.Fprintf(conn, "INVITE sip:%016x@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: %s\r\nCSeq: 1 INVITE\r\nX-Tier: page\r\n"+
 		"X-Deadline: %d\r\n%sX-Attrs: dest:1;width:1;via:-1\r\nContent-Length: 0\r\n\r\n", number, key, left.Milliseconds(), mark)
 	r := textproto.NewReader(bufio.NewReader(conn))
-	for {
-		if err := conn.SetReadDeadline(until); err != nil {
-			break
-		}
-		status, wait, err := answer(r)
+	for conn.SetReadDeadline(until) == nil {
+		m, err := read(r)
 		if err != nil {
 			break
 		}
-		if status >= 200 && status < 300 {
+		if m.status == 0 { // the release of a call whose own connection has gone: it may come on any
+			m.heard(conn)
+			continue
+		}
+		if m.status >= 200 && m.status < 300 {
 			fmt.Fprintf(conn, "ACK sip:peer@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: %s\r\nCSeq: 1 ACK\r\nContent-Length: 0\r\n\r\n", key)
-			time.AfterFunc(2*holds, func() { conn.Close() }) // the release comes meanwhile
+			go talk(conn, r, key)
 			return true, 0
 		}
-		if status >= 300 {
+		if m.status >= 300 {
 			conn.Close()
-			return false, wait
+			ms, _ := strconv.Atoi(m.header.Get("X-Cooldown")) // not said: 0
+			return false, time.Duration(ms) * time.Millisecond
 		}
 	}
 	fmt.Fprintf(conn, "CANCEL sip:peer@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: %s\r\nCSeq: 1 CANCEL\r\nContent-Length: 0\r\n\r\n", key)
@@ -129,27 +131,53 @@
 	return false, 0
 }
 
-// answer reads one answer with its body.
-func answer(r *textproto.Reader) (status int, wait time.Duration, err error) {
+// talk keeps the connection of a call that stands until the call is released.
+func talk(conn net.Conn, r *textproto.Reader, key string) {
+	defer conn.Close()
+	for conn.SetReadDeadline(time.Now().Add(10*holds)) == nil {
+		m, err := read(r)
+		if err != nil {
+			return
+		}
+		if m.heard(conn); m.status == 0 && m.header.Get("Call-Id") == key {
+			return
+		}
+	}
+}
+
+// message is an answer, or a request if it has no status.
+type message struct {
+	status int
+	header textproto.MIMEHeader
+}
+
+// heard answers a release.
+func (m message) heard(conn net.Conn) {
+	if m.status == 0 {
+		fmt.Fprintf(conn, "SIP/2.0 200 OK\r\nVia: %s\r\nCall-ID: %s\r\nCSeq: %s\r\nContent-Length: 0\r\n\r\n", m.header.Get("Via"),
+			m.header.Get("Call-Id"), m.header.Get("Cseq"))
+	}
+}
+
+// read reads one message with its body.
+func read(r *textproto.Reader) (message, error) {
 	line, err := r.ReadLine()
 	if err != nil {
-		return 0, 0, err
+		return message{}, err
 	}
-	h, err := r.ReadMIMEHeader()
-	if err != nil {
-		return 0, 0, err
+	m := message{}
+	if m.header, err = r.ReadMIMEHeader(); err != nil {
+		return m, err
 	}
-	n, _ := strconv.Atoi(h.Get("Content-Length")) // none: no body
+	n, _ := strconv.Atoi(m.header.Get("Content-Length")) // none: no body
 	if _, err := r.R.Discard(n); err != nil {
-		return 0, 0, err
+		return m, err
 	}
-	parts := strings.Fields(line)
-	if len(parts) < 2 {
-		return 0, 0, fmt.Errorf("loopback: status line %q", line)
-	}
-	if status, err = strconv.Atoi(parts[1]); err != nil {
-		return 0, 0, fmt.Errorf("loopback: status line %q", line)
+	if rest, ok := strings.CutPrefix(line, "SIP/2.0 "); ok {
+		code, _, _ := strings.Cut(rest, " ")
+		if m.status, err = strconv.Atoi(code); err != nil {
+			return m, fmt.Errorf("loopback: status line %q", line)
+		}
 	}
-	ms, _ := strconv.Atoi(h.Get("X-Cooldown")) // not said: 0
-	return status, time.Duration(ms) * time.Millisecond, nil
+	return m, nil
 }
