--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -19,6 +19,7 @@
 	PerHost   int              // callers behind one address
 	OneNumber float64          // share of the calls that go to one number
 	Elsewhere float64          // share of the further tries that go to another controller
+	Group     string           // caller group, as of an M3UA peer; empty for one by address
 	Jitter    float64          // up to this part more than the time told
 	RedialIn  [2]time.Duration // own wait before a further try, from and to
 	Patience  [2]float64       // share of the class's deadline after which a try is given up, from and to
@@ -41,6 +42,7 @@
 	At             time.Duration // of its first try
 	Class          int
 	Exchange, Dest int
+	Peer           bool // it came from an M3UA peer
 	Ignores        bool
 	Stood          time.Duration // when it stood, 0 if it never did
 	Tries          int
@@ -65,9 +67,13 @@
 	c := &Callers{Habit: h, mesh: m, at: m.nodes[exchange], to: to, rate: rate, Record: r,
 		rng: rand.New(rand.NewPCG(m.Seed, uint64(exchange)+1000))}
 	c.next()
+	m.loads = append(m.loads, c)
 	return c
 }
 
+// Loads are the callers, in the order in which they were let in.
+func (m *Mesh) Loads() []*Callers { return m.loads }
+
 // SetRate changes how many calls a second come.
 func (c *Callers) SetRate(rate float64) { c.rate = rate }
 
@@ -83,7 +89,7 @@
 
 // begin makes a new call.
 func (c *Callers) begin() {
-	k := &Call{At: c.mesh.Now(), Exchange: c.at.number, callers: c, Ignores: c.rng.Float64() < c.Ignore,
+	k := &Call{At: c.mesh.Now(), Exchange: c.at.number, callers: c, Peer: c.Group != "", Ignores: c.rng.Float64() < c.Ignore,
 		number: strconv.FormatUint(c.rng.Uint64()|1, 16)}
 	if c.rng.Float64() < c.Upgrade {
 		k.Class = 1
@@ -98,7 +104,9 @@
 		}
 	}
 	k.host = fmt.Sprintf("10.%d.%d.%d", c.at.number, c.rng.IntN(200), c.rng.IntN(200))
-	if c.PerHost > 0 {
+	if c.Group != "" {
+		k.host = c.Group
+	} else if c.PerHost > 0 {
 		k.host = fmt.Sprintf("10.%d.0.%d", c.at.number, c.rng.IntN(c.PerHost))
 	}
 	if c.rng.Float64() < c.OneNumber {
--- a/internal/standin/mesh.go
+++ b/internal/standin/mesh.go
@@ -46,6 +46,7 @@
 	groups map[[2]int]*group
 	calls  map[string]*ticket
 	lastID uint64
+	loads  []*Callers
 }
 
 // group is the circuits between two exchanges.
--- a/internal/storm/storm_test.go
+++ b/internal/storm/storm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -375,6 +376,9 @@
 
 // TestBounded: a million made-up callers, numbers, addresses and exchanges leave tables of a fixed size.
 func TestBounded(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
 	s, now := newStorm(t, config()), time.Hour
 	for i := range uint64(1_000_000) {
 		now += 10 * time.Microsecond
@@ -383,6 +387,10 @@
 			s.Tick(now)
 		}
 	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	require.Less(t, int64(after.HeapAlloc)-int64(before.HeapAlloc), int64(4<<20))
+	t.Logf("%d KiB", (int64(after.HeapAlloc)-int64(before.HeapAlloc))>>10)
 	require.LessOrEqual(t, len(s.dests), mostDests)
 	require.LessOrEqual(t, len(s.groups), mostGroups)
 	require.LessOrEqual(t, len(s.changes), mostChanges)
--- a/internal/stormlab/play.go
+++ b/internal/stormlab/play.go
@@ -21,6 +21,7 @@
 	First, Then       float64       // in the 20 s from Back on, and in the 15 s after those
 	Obedient          float64       // First, of callers who follow advice
 	To90              time.Duration // from Back until the share is, and stays, at 90% of Before; -1 if never
+	SIP               float64       // First, of SIP callers at exchange 0
 	Lost              float64       // worth that was not served in time from the first step on
 	Tries             float64       // a call, from Back on
 	Attempts          float64       // set-ups that left, a call, over the day
@@ -75,6 +76,7 @@
 	out.Then = m.Span(r, s.Back+spanFirst, s.Back+spanFirst+spanThen, nil).Share()
 	out.From10 = m.Span(r, s.Back+spanFirst/2, s.Back+spanFirst/2+26*time.Second, nil).Share()
 	out.Obedient = m.Span(r, s.Back, s.Back+spanFirst, func(k *standin.Call) bool { return !k.Ignores }).Share()
+	out.SIP = m.Span(r, s.Back, s.Back+spanFirst, func(k *standin.Call) bool { return !k.Peer && k.Exchange == 0 }).Share()
 	for d := spanWatch; d >= 0; d -= time.Second {
 		if m.Span(r, s.Back+d, s.Back+d+spanWindow, nil).Share() < 0.9*out.Before {
 			break
@@ -149,15 +151,15 @@
 
 // Row sums the seeds of one scenario and variant up.
 type Row struct {
-	Scenario, Variant                     string
-	Seeds                                 int
-	Before, First, From10, Then, Obedient float64 // means
-	FirstWorst                            float64
-	To90Median, To90Worst                 time.Duration // -1 if never
-	Lost, Tries, Attempts                 float64       // means
-	Worst                                 time.Duration
-	Turned, Fell, Alike, Broken           int
-	Series                                []float64
+	Scenario, Variant                          string
+	Seeds                                      int
+	Before, First, From10, Then, Obedient, SIP float64 // means
+	FirstWorst                                 float64
+	To90Median, To90Worst                      time.Duration // -1 if never
+	Lost, Tries, Attempts                      float64       // means
+	Worst                                      time.Duration
+	Turned, Fell, Alike, Broken                int
+	Series                                     []float64
 }
 
 // Table sums results up, a row for each scenario and variant in the order in which they come.
@@ -194,6 +196,7 @@
 		row.From10 += r.From10 / n
 		row.Then += r.Then / n
 		row.Obedient += r.Obedient / n
+		row.SIP += r.SIP / n
 		row.Lost += r.Lost / n
 		row.Tries += r.Tries / n
 		row.Attempts += r.Attempts / n
--- a/internal/stormlab/scenario.go
+++ b/internal/stormlab/scenario.go
@@ -124,6 +124,24 @@
 		}}
 }
 
+// peer is a mesh in which a peer of one exchange storms.
+func peer(name, about string) Scenario {
+	s := mesh(name, 0.8, usual(0.3), about, 30*second, Step{30 * second, func(m *standin.Mesh) error {
+		flood := m.Loads()[exchanges] // after those of the exchanges
+		flood.SetRate(8)
+		m.After(20*second, func() { flood.SetRate(1) })
+		return nil
+	}})
+	load := s.Load
+	s.Load = func(m *standin.Mesh, r *standin.Record) {
+		load(m, r)
+		h := usual(0.3)(0)
+		h.Group = "point code 200"
+		m.Call(0, 1, standin.Shares(exchanges, 0), h, r)
+	}
+	return s
+}
+
 // busy is a mesh with six times the calls.
 func busy(name, about string, back time.Duration, script ...Step) Scenario {
 	s := mesh(name, 6*0.97, usual(0.3), about, back, script...)
@@ -177,6 +195,7 @@
 			Step{25 * second, replace(three...)}),
 		mesh("mesh-number", 1.1, number, "at 110%, half of all calls to one number; three killed for 5 s", 25*second, outage...),
 		mesh("mesh-elsewhere", 0.97, elsewhere, "cold, with shared addresses and redials through other controllers", 25*second, cold...),
+		peer("mesh-peer", "an M3UA peer calls eight times as often as usual for 20 s, SIP is calm"),
 		mesh("mesh-slow", 0.97, usual(0.3), "three processors three times slower for 20 s", 20*second,
 			Step{20 * second, slow(0.33, 20*second, three...)}),
 		busy("busy-cold", "seven exchanges with six times the calls, all cold at once", 25*second,
--- a/internal/stormlab/stormlab_test.go
+++ b/internal/stormlab/stormlab_test.go
@@ -65,7 +65,7 @@
 // TestRules: every other storm keeps the rules, whatever it costs, in every variant.
 func TestRules(t *testing.T) {
 	table(t, 1, []string{"on", "no-window"}, "one-all-ignore", "one-no-advice", "one-spoilt", "one-picky", "mesh-all-cold",
-		"mesh-half-cold", "mesh-number", "mesh-elsewhere", "mesh-slow", "mesh-stall")
+		"mesh-half-cold", "mesh-number", "mesh-elsewhere", "mesh-slow", "mesh-peer", "mesh-stall")
 }
 
 // TestSamePlay: the same seed gives the same run.
--- a/internal/stormlab/table.go
+++ b/internal/stormlab/table.go
@@ -22,6 +22,7 @@
 	{"10 to 36 s", func(r Row) string { return figure(r.From10, 3) }},
 	{"20 to 35 s", func(r Row) string { return figure(r.Then, 3) }},
 	{"obedient", func(r Row) string { return figure(r.Obedient, 3) }},
+	{"SIP at 0", func(r Row) string { return figure(r.SIP, 3) }},
 	{"to 90% s", func(r Row) string { return seconds(r.To90Median) }},
 	{"worst s", func(r Row) string { return seconds(r.To90Worst) }},
 	{"worth lost", func(r Row) string { return figure(r.Lost, 0) }},
