A call over while its attempt is adrift is answered at once; releases are retold at once

At fault: a core whose answer was lost with its connection says on another that the call is over. If that comes in the 300 ms before the next set-up, or on another connection than the next set-up's, it was ignored; the call was set up a second time under its id, and its caller heard of an end when that one ended.

Now the engine remembers where attempts were lost with their connection. A normal clearing from there ends the call with a refusal at once, and gives up the attempt that is out. A caller that has its answer from another attempt stays on that one.

Beside it: a connection ended for what it sent was drained for a second before the releases unheard on it went out on another; now they go first.

--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"brookmux"
@@ -22,6 +23,8 @@
 	caller   uint64          // hash of what the tries of its caller have in common
 	damped   bool            // storm counts it as under way
 	failed   int             // attempts that left and did not stand
+
+	adrift []brookmux.SwitchID // where attempts were lost with their connection: they may stand there unheard
 }
 
 // leg is an attempt.
@@ -33,5 +36,11 @@
 	stands  bool
 }
 
+// ranUnheard tells whether this is the end of an attempt that was lost with its connection: it stood there, its
+// answer was lost too, and it is over. A caller that has its answer from another attempt is on that one.
+func (c *call) ranUnheard(from brookmux.SwitchID, o Outcome) bool {
+	return c != nil && !c.answered && o.Result == brookmux.ResultOK && slices.Contains(c.adrift, from)
+}
+
 // has tells whether the call's open attempt is at this core.
 func (c *call) has(from brookmux.SwitchID) bool { return c != nil && c.out != nil && c.out.to == from }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -87,6 +87,9 @@
 	Report brookmux.Report
 	Cause  Cause
 	Level  int // automatic congestion level that the core told (Q.763, 3.4), 0 for none
+	// Elsewhere tells that it came on another connection than the one on which a set-up of the call is open: it
+	// is not that set-up's end.
+	Elsewhere bool
 }
 
 // Condition is how an exchange is, for peers that are told of it.
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -35,8 +35,13 @@
 	e.post(func() {
 		c := e.calls[key]
 		switch {
-		case c.has(from):
+		case c.has(from) && !o.Elsewhere:
 			e.finishLeg(c, o)
+		case c.ranUnheard(from, o):
+			e.learn(from, o.Report, false)
+			e.giveUp(c)
+			e.ctl.Left(e.now, c.id)
+			e.overUnheard(c)
 		case c == nil && !e.ended(key) && e.Stray != nil:
 			// Set up by an earlier process of this name: its caller still has to hear that it is over.
 			e.counts.Strays++
@@ -44,6 +49,9 @@
 			e.remember(key)
 			e.learn(from, o.Report, false)
 		default:
+			if o.Elsewhere {
+				e.ignored(from, key, "release of a set-up of another connection")
+			}
 			e.learn(from, o.Report, false)
 		}
 	})
@@ -63,6 +71,9 @@
 		}
 		for _, k := range keys {
 			if c := e.calls[k]; c.has(at) && (l.Cut || !c.out.stands) && (l.Before <= 0 || c.out.at < l.Before) {
+				if !c.out.stands && !l.Cut && l.Outcome.Result == brookmux.ResultReset {
+					c.adrift = append(c.adrift, at)
+				}
 				e.finishLeg(c, l.Outcome)
 			}
 		}
@@ -71,10 +82,13 @@
 
 // Ignored counts what a core sent beside what it owes: a second copy, or an answer that nobody asked for.
 func (e *Engine) Ignored(from brookmux.SwitchID, key, what string) {
-	e.post(func() {
-		e.counts.Ignored++
-		e.Config.Log.Debug("ignored", "core", from, "call", key, "what", what)
-	})
+	e.post(func() { e.ignored(from, key, what) })
+}
+
+// ignored is Ignored in the owner's goroutine.
+func (e *Engine) ignored(from brookmux.SwitchID, key, what string) {
+	e.counts.Ignored++
+	e.Config.Log.Debug("ignored", "core", from, "call", key, "what", what)
 }
 
 // finishLeg ends a call's open attempt and tells the module, which may send again or give the final answer.
@@ -105,13 +119,17 @@
 	case l.stands:
 		e.close(c)
 	case unheard:
-		// The call stood, its answer was lost or is late, and it has come to its end. Whatever was made of it
-		// by another set-up would be a second call under its id: the caller is told now.
-		e.counts.Unheard++
-		e.refuse(c, Verdict{Failed: !e.harmless(c), Cause: TemporaryFailure, Why: "over before its answer was heard"})
+		e.overUnheard(c)
 	}
 }
 
+// overUnheard answers a call that stood, whose answer was lost or is late, and that has come to its end. Whatever
+// was made of it by another set-up would be a second call under its id: the caller is told now.
+func (e *Engine) overUnheard(c *call) {
+	e.counts.Unheard++
+	e.refuse(c, Verdict{Failed: !e.harmless(c), Cause: TemporaryFailure, Why: "over before its answer was heard"})
+}
+
 // harmless tells whether a call that may have run may be asked for again.
 func (e *Engine) harmless(c *call) bool {
 	k := e.Settings.Module.Classes[e.classes[c.Class]]
--- a/internal/corelink/link.go
+++ b/internal/corelink/link.go
@@ -168,10 +168,10 @@
 		x.pool.events.Answered(x.ID, m.id, m.sdp, m.report)
 	case m.kind == "answer":
 		x.pool.events.Ignored(x.ID, m.id, "answer to no open set-up of its connection")
-	case m.kind == "release" && elsewhere && !own:
-		x.pool.events.Ignored(x.ID, m.id, "release of a set-up of another connection")
 	case m.kind == "release":
-		x.pool.events.Ended(x.ID, m.id, m.outcome())
+		o := m.outcome()
+		o.Elsewhere = elsewhere && !own
+		x.pool.events.Ended(x.ID, m.id, o)
 	case news:
 		x.pool.events.Reported(x.ID, m.report, true)
 	case m.kind == "ping":
--- a/internal/playback/playback.go
+++ b/internal/playback/playback.go
@@ -299,7 +299,7 @@
 		_, err := a.conn.Write(b)
 		require.NoError(s.t, err)
 	case strings.HasPrefix(verb, "gets"):
-		got, err := a.read()
+		got, err := a.read(false)
 		require.NoError(s.t, err, "%s waits for:\n%s\nlog:\n%s", a.name, payload, s.log)
 		if d, err := time.ParseDuration(strings.TrimPrefix(verb, "gets after ")); err == nil {
 			require.GreaterOrEqual(s.t, time.Since(s.last), d, "%s got it too soon", a.name)
@@ -308,7 +308,7 @@
 		s.match(a, payload, got)
 	case verb == "is closed":
 		a.choose(a.text(s, payload))
-		got, err := a.read()
+		got, err := a.read(true)
 		require.Error(s.t, err, "%s got %q", a.name, got)
 		s.ledger.over(a.name, a.calls, a.conn, false) // when the program closed it, nobody here can tell
 		a.conn = nil
@@ -373,7 +373,7 @@
 func (a *actor) hex() bool { return a.name[0] == 'p' || a.name[0] == 'x' }
 
 // readLine reads a core's next message, from whichever connection, or the end of the present one.
-func (a *actor) readLine() ([]byte, error) {
+func (a *actor) readLine(closing bool) ([]byte, error) {
 	for {
 		select {
 		case l := <-a.lines:
@@ -382,7 +382,8 @@
 				a.calls[jsonID(l.text)] = l.conn
 				return l.text, nil
 			}
-			if a.ended[l.conn] = true; l.conn == a.conn {
+			// One that carries no call may end at any time, as one that the program found to be of no use.
+			if a.ended[l.conn] = true; l.conn == a.conn && (closing || a.carries(l.conn)) {
 				return nil, l.err
 			}
 		case <-time.After(patience):
@@ -391,6 +392,16 @@
 	}
 }
 
+// carries tells whether a connection brought a call's set-up.
+func (a *actor) carries(conn net.Conn) bool {
+	for _, c := range a.calls {
+		if c == conn {
+			return true
+		}
+	}
+	return false
+}
+
 // rest returns what a core was sent beside what the steps expected, once the program has ended.
 func (a *actor) rest() string {
 	a.listener.Close()
@@ -453,7 +464,7 @@
 }
 
 // read reads one message.
-func (a *actor) read() ([]byte, error) {
+func (a *actor) read(closing bool) ([]byte, error) {
 	if err := a.conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
 		return nil, err
 	}
@@ -467,7 +478,7 @@
 		_, err = io.ReadFull(a.r, b)
 		return b, err
 	case a.name[0] == 'c':
-		return a.readLine()
+		return a.readLine(closing)
 	}
 	var raw bytes.Buffer
 	for n := 0; ; {
--- a/internal/sipfront/conn.go
+++ b/internal/sipfront/conn.go
@@ -84,6 +84,7 @@
 	} else if err != nil && !errors.Is(err, io.EOF) {
 		c.front.log.Debug("caller connection over", "error", err)
 	}
+	c.front.retell(c) // not only once the caller has had its time to read what was left
 	if gone := (*net.OpError)(nil); errors.Is(err, io.EOF) || errors.As(err, &gone) && !gone.Timeout() {
 		c.Finish() // the caller has ended it
 	} else {
--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -153,11 +153,15 @@
 	}
 }
 
-// gone takes a connection off; the releases that may not have been read go out on another.
+// gone takes a connection off.
 func (f *Front) gone(c *conn) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	delete(f.conns, c)
-	f.mu.Unlock()
+}
+
+// retell sends the releases that may not have been read on a connection that is over on another.
+func (f *Front) retell(c *conn) {
 	for _, r := range c.unheard() {
 		f.release(nil, r)
 	}
