--- a/internal/playback/playback.go
+++ b/internal/playback/playback.go
@@ -93,6 +93,7 @@
 	stopped bool
 	env     map[string]string
 
+	had       map[string]int // steps that waited for a text of the log
 	operators map[string]*operator
 	tls       *authority // nil where gNMI goes in the clear
 }
@@ -127,7 +128,7 @@
 	head, rest, ok := strings.Cut(text, "\n== ")
 	require.True(t, ok, "no steps")
 	s := &stage{t: t, actors: map[string]*actor{}, words: map[string]string{}, log: newLog(), last: time.Now(),
-		ledger: newLedger(t), operators: map[string]*operator{}}
+		ledger: newLedger(t), operators: map[string]*operator{}, had: map[string]int{}}
 	t.Cleanup(s.close)
 	s.open(head, start)
 	for step := range strings.SplitSeq(rest, "\n== ") {
@@ -275,7 +276,8 @@
 		old.Close()
 		s.rewrite(old.LocalAddr().String(), s.names.LocalAddr().String())
 	case name == "log":
-		require.True(s.t, s.log.await(payload), "the log never had %q:\n%s", payload, s.log)
+		s.had[payload]++ // the same step again waits for the line to come again
+		require.True(s.t, s.log.await(payload, s.had[payload]), "the log never had %q:\n%s", payload, s.log)
 	case name == "g", name == "h":
 		s.operate(name, verb, payload)
 	case name == "names":
@@ -650,8 +652,8 @@
 	return l.text.String()
 }
 
-// await waits until the log holds a text.
-func (l *log) await(text string) bool {
+// await waits until the log holds a text so many times.
+func (l *log) await(text string, times int) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	defer context.AfterFunc(ctx, func() {
@@ -661,7 +663,7 @@
 	})()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for !strings.Contains(l.text.String(), text) {
+	for strings.Count(l.text.String(), text) < times {
 		if ctx.Err() != nil {
 			return false
 		}
@@ -672,7 +674,7 @@
 
 // address waits for the line that tells where a front listens, and takes the last one.
 func (l *log) address(t *testing.T, front string) string {
-	require.True(t, l.await(`msg="`+front+`"`), "%s", l)
+	require.True(t, l.await(`msg="`+front+`"`, 1), "%s", l)
 	all := regexp.MustCompile(`msg="`+front+`".* address=(\S+)`).FindAllStringSubmatch(l.String(), -1)
 	return all[len(all)-1][1]
 }
