--- a/yang/yang.go
+++ b/yang/yang.go
@@ -1,7 +1,12 @@
-// Package yang holds the model of the management interface.
+// Package yang holds the models of the management interface.
 package yang
 
-import _ "embed" // for the model's text
+import "embed"
+
+// Files holds the text of all modules, each in the file NAME.yang.
+//
+//go:embed *.yang
+var Files embed.FS
 
 // Model is the text of the module brookmux.
 //
