--- a/internal/datastore/commit.go
+++ b/internal/datastore/commit.go
@@ -190,7 +190,7 @@
 
 // begin starts a transaction towards a tree, which is checked as a whole.
 func (s *Store) begin(id SessionID, next *schema.Node, at time.Time, comment string) (*Txn, error) {
-	if err := s.check(next); err != nil {
+	if err := s.Check(next); err != nil {
 		return nil, err
 	}
 	t := s.txn(s.sessions[id], KindCommit, next.Clone(), at)
--- a/internal/datastore/edit.go
+++ b/internal/datastore/edit.go
@@ -74,6 +74,15 @@
 	return a.faults
 }
 
+// Tree returns what an edit makes of nothing: a whole configuration.
+func (e Edit) Tree(m *schema.Model) (*schema.Node, error) {
+	tree := m.NewTree()
+	if faults := e.apply(tree); len(faults) > 0 {
+		return nil, &Error{Faults: faults}
+	}
+	return tree, nil
+}
+
 // applier is one edit under way.
 type applier struct {
 	on     ErrorOption
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -212,15 +212,15 @@
 	if err := s.free(id, Candidate); err != nil {
 		return err
 	}
-	next, err := s.edited1(s.candidate, e)
+	next, err := s.after(s.candidate, e)
 	if next != nil && e.Test != TestOnly {
 		s.candidate, s.edited = next, true
 	}
 	return err
 }
 
-// edited1 returns a tree with an edit made, or nil where nothing of it is kept, and what was wrong with it.
-func (s *Store) edited1(base *schema.Node, e Edit) (*schema.Node, error) {
+// after returns a tree with an edit made, or nil where nothing of it is kept, and what was wrong with it.
+func (s *Store) after(base *schema.Node, e Edit) (*schema.Node, error) {
 	next := base.Clone()
 	faults := e.apply(next)
 	if len(faults) == 0 && e.Test != Set {
@@ -238,6 +238,16 @@
 	return next, &Error{Faults: faults}
 }
 
+// Try tells what an edit of running would come to, and changes nothing.
+func (s *Store) Try(id SessionID, e Edit) error {
+	if err := s.free(id, Running); err != nil {
+		return err
+	}
+	e.Test = TestOnly
+	_, err := s.after(s.running, e)
+	return err
+}
+
 // Replace puts a whole configuration in the candidate's place (RFC 6241, 7.3).
 func (s *Store) Replace(id SessionID, tree *schema.Node) error {
 	if err := s.free(id, Candidate); err != nil {
@@ -264,11 +274,11 @@
 	if err != nil {
 		return err
 	}
-	return s.check(x)
+	return s.Check(x)
 }
 
-// check tells whether a tree may become the running one.
-func (s *Store) check(next *schema.Node) error {
+// Check tells whether a tree may become the running one.
+func (s *Store) Check(next *schema.Node) error {
 	faults := s.Model.Validate(next)
 	if len(faults) == 0 {
 		faults = s.guard(next)
--- a/internal/schema/tree.go
+++ b/internal/schema/tree.go
@@ -222,12 +222,12 @@
 		if n.Def.Kind == List {
 			name = n.Def.Keys[i]
 		}
-		b.WriteString("[" + name + "=" + quote(k) + "]")
+		b.WriteString("[" + name + "=" + Quote(k) + "]")
 	}
 }
 
-// quote writes a value in a path (RFC 7950, 14: a quoted string has no escapes, so the quotes are chosen).
-func quote(v string) string {
+// Quote writes a value in a path (RFC 7950, 14: a quoted string has no escapes, so the quotes are chosen).
+func Quote(v string) string {
 	if !strings.Contains(v, "'") {
 		return "'" + v + "'"
 	}
