Operators raise exchanges over NETCONF under load; what is set takes effect as a whole

internal/intent decides whose word counts (RFC 8342): the list's for what it lists, operators' for the rest, and operators can take work away from a listed exchange but not give it any. The guard on cold cores starts from the planned load.

--- a/cmd/brookmux/config.go
+++ b/cmd/brookmux/config.go
@@ -31,10 +31,11 @@
 	m3ua   m3ua.Config
 	storm  stormconf.File
 	manage manageConfig
+	op     operateConfig
 }
 
 // load reads the configuration files; listen, where given, goes before what the platform's file says.
-func load(path, listen, m3uaFile, storeFile, stormFile string) (config, error) {
+func load(path, listen, m3uaFile, storeFile, stormFile, netconfFile string) (config, error) {
 	p, err := loadPlatform(path, listen)
 	c := config{platform: p}
 	if err != nil {
@@ -46,6 +47,9 @@
 	if c.storm, err = stormconf.Load(stormFile); err != nil {
 		return c, err
 	}
+	if c.op, err = loadOperate(netconfFile); err != nil {
+		return c, err
+	}
 	c.manage, err = loadManage(storeFile)
 	return c, err
 }
--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -57,7 +57,8 @@
 func run(ctx context.Context, getenv func(string) string, signals signals, log *slog.Logger,
 	level *slog.LevelVar, tune func(config)) error {
 	conf, err := load(getenv("GW_CONFIG"), getenv("GW_LISTEN"), cmp.Or(getenv("BROOKMUX_M3UA"), "deploy/m3ua.toml"),
-		cmp.Or(getenv("BROOKMUX_STORE"), "deploy/store.toml"), cmp.Or(getenv("BROOKMUX_STORM"), "deploy/storm.toml"))
+		cmp.Or(getenv("BROOKMUX_STORE"), "deploy/store.toml"), cmp.Or(getenv("BROOKMUX_STORM"), "deploy/storm.toml"),
+		cmp.Or(getenv("BROOKMUX_NETCONF"), "deploy/netconf.toml"))
 	if err != nil {
 		return err
 	}
@@ -108,15 +109,13 @@
 		return err
 	}
 
-	failed := make(chan error, 5)
+	failed := make(chan error, 6)
 	go func() { failed <- engine.Run(ctx) }()
-	told := func(l directory.List, kind brookmux.ListKind) {
-		links.Update(cores(l, conf.settings.Module.Here))
-		merge.Set("names", kind, l.Switches())
-	}
-	told(known, brookmux.Cached)
+	place := &placement{links: links, merge: merge, here: conf.settings.Module.Here, engine: engine,
+		now: func() time.Duration { return time.Since(reader.Origin) }}
+	place.told(known, brookmux.Cached)
 	names, err := directory.NewService(reader, conf.nameserver, known.Serial, log,
-		func(l directory.List) { told(l, brookmux.Full) })
+		func(l directory.List) { place.told(l, brookmux.Full) })
 	if err != nil {
 		return err
 	}
@@ -129,6 +128,13 @@
 	defer manager.close()
 	go manager.follow(ctx)
 	go manager.publish(ctx, phase, reports)
+	over := &overlay{engine: engine, front: front, most: manager.setMost, settings: conf.settings, bytes: conf.memory / 8,
+		callers: callers}
+	operator, err := openOperator(ctx, conf.op, place, over, conf.settings.Zones, log, failed)
+	if err != nil {
+		return err
+	}
+	defer operator.close()
 	// Before either front listens: the first call makes it serving, and from there no way leads back.
 	if err := phase.To(lifecycle.Ready); err != nil {
 		return err
@@ -139,8 +145,8 @@
 		}
 	}
 	reloader := &reloader{path: getenv("GW_CONFIG"), listen: getenv("GW_LISTEN"), conf: conf.platform,
-		peers: len(conf.m3ua.Peers), reader: reader, names: names, engine: engine, links: links.Pool, front: front,
-		manager: manager, tune: tune, log: log}
+		peers: len(conf.m3ua.Peers), reader: reader, names: names, links: links.Pool, over: over,
+		tune: tune, log: log}
 	reloader.serve = func(l net.Listener) {
 		serving, stop := context.WithCancel(ctx)
 		reloader.unserve = stop
--- /dev/null
+++ b/cmd/brookmux/operate.go
@@ -0,0 +1,416 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"golang.org/x/crypto/ssh"
+
+	"brookmux"
+	"brookmux/internal/core"
+	"brookmux/internal/corelink"
+	"brookmux/internal/datastore"
+	"brookmux/internal/directory"
+	"brookmux/internal/intent"
+	"brookmux/internal/journal"
+	"brookmux/internal/netconf"
+	"brookmux/internal/schema"
+	"brookmux/internal/settings"
+	"brookmux/internal/sipfront"
+	"brookmux/internal/tomlfile"
+	"brookmux/internal/transact"
+	"brookmux/yang"
+)
+
+const (
+	usualKeep    = 50
+	mostSessions = 32
+	operateEvery = 250 * time.Millisecond
+)
+
+// operateConfig is what deploy/netconf.toml says.
+type operateConfig struct {
+	Enabled  bool     `toml:"enabled"`
+	Listen   string   `toml:"listen"`    // where NETCONF listens; empty: nowhere
+	HostKeys []string `toml:"host_keys"` // files; several while one takes another's place
+	Journal  string   `toml:"journal"`   // the folder of what was committed; empty: in memory
+	Keep     int      `toml:"keep"`      // revisions that can be gone back to, 0 for the usual 50
+	Users    []struct {
+		Name string   `toml:"name"`
+		Keys []string `toml:"keys"` // as in authorized_keys
+	} `toml:"user"`
+
+	hosts []ssh.Signer
+	users map[string][]ssh.PublicKey
+}
+
+// loadOperate reads the file; where there is none, operators change nothing while the program runs.
+func loadOperate(path string) (operateConfig, error) {
+	var c operateConfig
+	text, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return c, nil
+	}
+	if err != nil {
+		return c, fmt.Errorf("netconf: configuration: %w", err)
+	}
+	if err := tomlfile.Decode(text, &c); err != nil {
+		return c, fmt.Errorf("netconf: configuration %s: %w", path, err)
+	}
+	if err := c.check(); err != nil {
+		return c, fmt.Errorf("netconf: configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// check reads the keys and names the field that can't be served.
+func (c *operateConfig) check() error {
+	if !c.Enabled {
+		return nil
+	}
+	if c.Keep < 0 || c.Keep > 1000 {
+		return fmt.Errorf("keep is %d: 1 to 1000 are possible, 0 for %d", c.Keep, usualKeep)
+	}
+	if c.Keep == 0 {
+		c.Keep = usualKeep
+	}
+	for i, file := range c.HostKeys {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return fmt.Errorf("host_keys[%d]: %w", i, err)
+		}
+		k, err := ssh.ParsePrivateKey(text)
+		if err != nil {
+			return fmt.Errorf("host_keys[%d]: %s: %w", i, file, err)
+		}
+		c.hosts = append(c.hosts, k)
+	}
+	c.users = map[string][]ssh.PublicKey{}
+	for i, u := range c.Users {
+		if u.Name == "" || c.users[u.Name] != nil {
+			return fmt.Errorf("user[%d]: a name is needed, of each user once", i)
+		}
+		for n, text := range u.Keys {
+			k, _, _, _, err := ssh.ParseAuthorizedKey([]byte(text))
+			if err != nil {
+				return fmt.Errorf("user[%d].keys[%d]: %w", i, n, err)
+			}
+			c.users[u.Name] = append(c.users[u.Name], k)
+		}
+		if len(u.Keys) == 0 {
+			return fmt.Errorf("user[%d].keys: one at least is needed", i)
+		}
+	}
+	if c.Listen != "" && (len(c.hosts) == 0 || len(c.users) == 0) {
+		return errors.New("listen: host_keys and a user are needed")
+	}
+	return nil
+}
+
+// access is who may log in, by the file.
+type access struct{ operateConfig }
+
+// HostKeys and Keys implement netconf.Access.
+func (a access) HostKeys() []ssh.Signer           { return a.hosts }
+func (a access) Keys(user string) []ssh.PublicKey { return a.users[user] }
+
+// placement joins the exchanges that the platform lists with those that operators have set, for the links and the
+// module.
+type placement struct {
+	links  *trunks
+	merge  *directory.Merge
+	here   int
+	engine *core.Engine
+	now    func() time.Duration // on the engine's clock
+
+	mu     sync.Mutex
+	placer intent.Placer
+	listed directory.List
+	groups []intent.Group
+	own    bool // cores that only operators have set are known
+	words  map[int]intent.Word
+	again  time.Duration
+	drains func(map[string]string) // told what drains by the list's word, without the lock
+}
+
+// told takes the name service's list.
+func (p *placement) told(l directory.List, kind brookmux.ListKind) {
+	p.mu.Lock()
+	p.listed = l
+	p.place(kind)
+	drains := p.drains
+	p.mu.Unlock()
+	if drains != nil {
+		drains(p.draining())
+	}
+}
+
+// draining are the exchanges that have been told to drain.
+func (p *placement) draining() map[string]string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]string{}
+	for n, w := range p.words {
+		if w.Told == "draining" {
+			out[fmt.Sprint(n)] = w.Told
+		}
+	}
+	return out
+}
+
+// place hands on what is known by now. The lock is held.
+func (p *placement) place(kind brookmux.ListKind) {
+	all, own, words, again := p.placer.Place(p.now(), p.listed.Switches())
+	p.words, p.again = words, again
+	to := cores(p.listed, p.here)
+	var switches []brookmux.Switch
+	for _, c := range own {
+		if c.Number != p.here {
+			to = append(to, corelink.Core{ID: c.ID, Addr: c.Address, Since: c.Since})
+		}
+		switches = append(switches, c.Switch)
+	}
+	p.links.Update(to)
+	p.merge.Set("names", kind, all)
+	if len(own) > 0 || p.own {
+		p.own = len(own) > 0
+		p.merge.Set("config", brookmux.Full, switches)
+	}
+	for _, g := range p.groups {
+		r := settings.NoReport()
+		r.Size = g.Size
+		for _, s := range append(all[:len(all):len(all)], switches...) {
+			if s.Number == g.Number {
+				p.engine.Reported(s.ID, r, true)
+			}
+		}
+	}
+}
+
+// want takes what operators have set.
+func (p *placement) want(list []intent.Exchange, groups []intent.Group, start bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.placer.Want(p.now(), list, start)
+	p.groups = groups
+	p.place(brookmux.Full)
+}
+
+// tick lets what lingers go when it is time.
+func (p *placement) tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.again > 0 && p.now() >= p.again {
+		p.place(brookmux.Full)
+	}
+}
+
+// state adds what is seen of the exchanges to a tree.
+func (p *placement) state(tree *schema.Node) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n, w := range p.words {
+		at := fmt.Sprintf("/exchanges/exchange[number='%d']/state/", n)
+		_ = tree.Put(schema.Item{Path: at + "origin", Value: string(w.Origin)}) // the model has them, see the tests
+		if w.Told != "" {
+			_ = tree.Put(schema.Item{Path: at + "told", Value: w.Told})
+		}
+	}
+}
+
+// overlay puts what operators have set over the platform's settings, whichever of the two is new.
+type overlay struct {
+	engine *core.Engine
+	front  *sipfront.Front
+	most   func(int) // calls open at a time
+
+	mu       sync.Mutex
+	tree     *schema.Node // with defaults; nil while nothing is set
+	settings settings.Settings
+	bytes    int64
+	callers  int
+}
+
+// platform takes the platform's settings, or returns an error and changes nothing.
+func (o *overlay) platform(s settings.Settings, bytes int64, callers int) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.force(s, bytes, callers, o.tree); err != nil {
+		return err
+	}
+	o.settings, o.bytes, o.callers = s, bytes, callers
+	return nil
+}
+
+// set takes what operators have set, or returns an error and changes nothing.
+func (o *overlay) set(tree *schema.Node) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.force(o.settings, o.bytes, o.callers, tree); err != nil {
+		return err
+	}
+	o.tree = tree
+	return nil
+}
+
+// force puts both in force. The lock is held.
+func (o *overlay) force(s settings.Settings, bytes int64, callers int, tree *schema.Node) (err error) {
+	if tree != nil {
+		if s, err = intent.Settings(s, tree); err != nil {
+			return err
+		}
+		callers = intent.Callers(tree, callers)
+	}
+	if err := o.engine.Configure(s, bytes); err != nil {
+		return err
+	}
+	o.front.SetMost(callers)
+	o.most(s.MostHeld)
+	return nil
+}
+
+// settingsPart and exchangesPart let the configuration take effect.
+type settingsPart struct{ *overlay }
+
+// Name and Apply implement transact.Part.
+func (settingsPart) Name() string { return "settings" }
+
+func (p settingsPart) Apply(_ uint64, running *schema.Node, _ []schema.Change) error {
+	return p.set(schema.WithDefaults(running))
+}
+
+type exchangesPart struct {
+	*placement
+	zones   []string
+	started bool
+}
+
+// Name and Apply implement transact.Part.
+func (*exchangesPart) Name() string { return "exchanges" }
+
+func (p *exchangesPart) Apply(_ uint64, running *schema.Node, _ []schema.Change) error {
+	tree := schema.WithDefaults(running)
+	list, err := intent.Exchanges(tree, p.zones)
+	if err != nil {
+		return err
+	}
+	planned := map[int]float64{}
+	for _, x := range list {
+		planned[x.Number] = x.Planned
+	}
+	p.engine.SetPlanned(planned)
+	p.want(list, intent.Groups(tree, p.here), !p.started)
+	p.started = true
+	return nil
+}
+
+// atStart refuses what is read at the start only, from files of its own.
+func atStart(_, next *schema.Node) (faults []schema.Fault) {
+	for node, file := range map[string]string{"storm": "deploy/storm.toml", "m3ua": "deploy/m3ua.toml"} {
+		if n := next.Get(node); n != nil && (n.Len() > 0 || n.Def.Presence) {
+			faults = append(faults, schema.Fault{Tag: schema.OperationUnknown, Path: n.Path(),
+				Message: "it is read at the start only, from " + file})
+		}
+	}
+	return faults
+}
+
+// operator is what operators change the program with while it runs.
+type operator struct {
+	owner  *transact.Owner
+	server *netconf.Server
+	log    *slog.Logger
+}
+
+// openOperator opens the journal, lets what it holds take effect and serves NETCONF, as the file says.
+func openOperator(ctx context.Context, c operateConfig, place *placement, over *overlay, zones []string, log *slog.Logger,
+	failed chan<- error) (*operator, error) {
+	if !c.Enabled {
+		return nil, nil
+	}
+	model, err := schema.Load(yang.Files)
+	if err != nil {
+		return nil, err
+	}
+	o := &operator{log: log}
+	drains := &datastore.Drains{}
+	drains.Told(place.draining())
+	conf := transact.Config{Store: datastore.Config{Model: model, Keep: c.Keep, Sessions: mostSessions,
+		Guards: []datastore.Guard{drains.Guard, atStart}}, Now: time.Now, Log: log,
+		Parts: []transact.Part{settingsPart{over}, &exchangesPart{placement: place, zones: zones}},
+		Told: func(e transact.Event) {
+			if o.server != nil {
+				o.server.Told(e)
+			}
+		}}
+	if c.Journal != "" {
+		j, kept, err := journal.Open(vfs.Default, c.Journal, log)
+		if err != nil {
+			return nil, err
+		}
+		conf.Journal, conf.Kept = j, kept
+		log.Info("journal", "folder", c.Journal, "records", len(kept))
+	}
+	if o.owner, err = transact.New(conf); err != nil {
+		if conf.Journal != nil {
+			err = errors.Join(err, conf.Journal.Close())
+		}
+		return nil, err
+	}
+	place.mu.Lock()
+	place.drains = func(list map[string]string) {
+		_ = o.owner.Do(func(*datastore.Store) error { drains.Told(list); return nil }) // it can't fail
+	}
+	place.mu.Unlock()
+	place.drains(place.draining()) // what came in between
+	o.server = netconf.NewServer(netconf.Config{Owner: o.owner, Model: model, State: place.state, Now: time.Now, Log: log})
+	go o.tick(ctx, place)
+	if c.Listen == "" {
+		return o, nil
+	}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("netconf: listen: %w", err), o.owner.End())
+	}
+	log.Info("netconf listens", "address", l.Addr().String())
+	go func() {
+		if err := netconf.NewListener(o.server, access{c}, log).Serve(ctx, l); err != nil {
+			failed <- err
+		}
+	}()
+	return o, nil
+}
+
+// tick takes back what was not confirmed in time, and lets go what lingered.
+func (o *operator) tick(ctx context.Context, place *placement) {
+	t := time.NewTicker(operateEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			o.owner.Tick()
+			place.tick()
+		}
+	}
+}
+
+// close ends the sessions and the journal.
+func (o *operator) close() {
+	if o == nil {
+		return
+	}
+	o.server.Close()
+	if err := o.owner.End(); err != nil {
+		o.log.Warn("journal", "error", err)
+	}
+}
--- /dev/null
+++ b/cmd/brookmux/operate_test.go
@@ -0,0 +1,268 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/pem"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/scrapli/scrapligo/driver/netconf"
+	"github.com/scrapli/scrapligo/driver/opoptions"
+	"github.com/scrapli/scrapligo/driver/options"
+	"github.com/scrapli/scrapligo/response"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/crypto/ssh"
+
+	"brookmux/internal/playback"
+	"brookmux/internal/standin/loopback"
+)
+
+// output is a program's log, which a test waits on.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+	more chan struct{} // closed with each line
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	close(o.more)
+	o.more = make(chan struct{})
+	return o.text.Write(b)
+}
+
+// await returns the first match of a pattern's group.
+func (o *output) await(t *testing.T, pattern string) string {
+	re, late := regexp.MustCompile(pattern), time.After(20*time.Second)
+	for {
+		o.mu.Lock()
+		m, more := re.FindStringSubmatch(o.text.String()), o.more
+		o.mu.Unlock()
+		if m != nil {
+			return m[len(m)-1]
+		}
+		select {
+		case <-more:
+		case <-late:
+			t.Fatalf("the log never had %s:\n%s", pattern, o.text.String())
+		}
+	}
+}
+
+// keyFile makes a key and returns it as authorized_keys has it, with the file of its private part.
+func keyFile(t *testing.T) (string, string) {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	require.NoError(t, err)
+	block, err := ssh.MarshalPrivateKey(private, "test")
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "key")
+	require.NoError(t, os.WriteFile(path, pem.EncodeToMemory(block), 0o600))
+	k, err := ssh.NewPublicKey(public)
+	require.NoError(t, err)
+	return strings.TrimSpace(string(ssh.MarshalAuthorizedKey(k))), path
+}
+
+// site is a program with the cores of a deployment, of which operators change the rest.
+type site struct {
+	t       *testing.T
+	env     map[string]string
+	key     string
+	journal string
+	out     *output
+	process playback.Process
+	sip     string
+}
+
+// newSite writes the files of a program whose list has these cores, for exchanges 1 and on.
+func newSite(t *testing.T, cores []*loopback.Core) *site {
+	names, err := net.ListenPacket("udp", "127.0.0.1:0") // it never answers: the list of the start stands
+	require.NoError(t, err)
+	t.Cleanup(func() { names.Close() })
+	var members []string
+	for i, c := range cores {
+		members = append(members, fmt.Sprintf(`{"id":"s-0000000%d","host_port":%q,"locality":"east","flavor":"std","cell":%d,`+
+			`"phase":"Ready","size":1,"up_since_ms":0}`, i+1, c.Addr(), i+1))
+	}
+	dir := t.TempDir()
+	s := &site{t: t, journal: filepath.Join(dir, "journal"), env: map[string]string{}}
+	_, host := keyFile(t)
+	user, key := keyFile(t)
+	s.key = key
+	for name, text := range map[string]string{
+		"GW_CONFIG": fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,
+"sockets":1024},"nameserver":%q,"known":{"rev":1,"notices":[{"rev":1,"pool":{"revision":1,"complete":true,"members":[%s]}}]},
+"settings":{"instances":1,"classes":[{"name":"page","aimMs":1500,"deadlineMs":9000,"gain":1}],"zones":["east"],
+"loadReport":{"how":"piggyback","names":["idle","circuits","avg_ms"]},"permissions":{"maxAttempts":6,"retryAfter":true,
+"maxRetryAfterMs":2000,"connectTimeoutMs":500},"rules":{"warmWithinMs":14000,"coldFrom":0.3,"fallMultiple":4},
+"specifics":{"here":0,"releaseGuardMs":300,"classHoldMs":[300]}}}`, names.LocalAddr(), strings.Join(members, ",")),
+		"BROOKMUX_NETCONF": fmt.Sprintf("enabled = true\nlisten = \"127.0.0.1:0\"\nhost_keys = [%q]\njournal = %q\n"+
+			"[[user]]\nname = \"op\"\nkeys = [%q]\n", host, s.journal, user),
+		"BROOKMUX_M3UA": "", "BROOKMUX_STORE": "", "BROOKMUX_STORM": ""} {
+		s.env[name] = filepath.Join(dir, name)
+		require.NoError(t, os.WriteFile(s.env[name], []byte(text), 0o600))
+	}
+	return s
+}
+
+// start starts the program.
+func (s *site) start() {
+	s.out = &output{more: make(chan struct{})}
+	s.process = inProcess(s.t, s.env, s.out)
+	s.sip = s.out.await(s.t, `msg="sip listens".* address=(\S+)`)
+}
+
+// stop ends it as the platform does.
+func (s *site) stop() {
+	s.process.Signal(syscall.SIGTERM)
+	require.NoError(s.t, s.process.Wait(), "%s", s.out.text.String())
+}
+
+// operator opens a NETCONF session, with a client that is not ours.
+func (s *site) operator() *netconf.Driver {
+	host, port, err := net.SplitHostPort(s.out.await(s.t, `msg="netconf listens".* address=(\S+)`))
+	require.NoError(s.t, err)
+	n, err := strconv.Atoi(port)
+	require.NoError(s.t, err)
+	d, err := netconf.NewDriver(host, options.WithPort(n), options.WithAuthUsername("op"), options.WithAuthPrivateKey(s.key, ""),
+		options.WithAuthNoStrictKey(), options.WithTransportType("standard"), options.WithTimeoutOps(20*time.Second))
+	require.NoError(s.t, err)
+	require.NoError(s.t, d.Open())
+	return d
+}
+
+// done checks that an operation was carried out.
+func (s *site) done(r *response.NetconfResponse, err error) string {
+	require.NoError(s.t, err)
+	require.NoError(s.t, r.Failed)
+	return r.Result
+}
+
+// exchanges is a configuration of some.
+func exchanges(addr map[int]string) string {
+	out := `<exchanges xmlns="urn:brookmux:exchanges">`
+	for n, a := range addr {
+		out += fmt.Sprintf("<exchange><number>%d</number><address>%s</address><zone>east</zone>"+
+			"<planned-load>60</planned-load></exchange>", n, a)
+	}
+	return out + "</exchanges>"
+}
+
+// TestSevenToNine: while calls come, an operator raises the exchanges from seven (the own one and six) to nine and
+// changes a group: the new ones serve calls, no call is lost, and the program says the same after it has started again. A
+// group with an end that is not there, and a zone that the platform does not have, change nothing.
+func TestSevenToNine(t *testing.T) {
+	t.Parallel()
+	var cores []*loopback.Core
+	for range 8 {
+		c, err := loopback.NewCore(500, 3*time.Second)
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		cores = append(cores, c)
+	}
+	s := newSite(t, cores[:6])
+	s.start()
+	ctx, cancel := context.WithCancel(t.Context())
+	load := func(ctx context.Context, seed uint64, to ...int) <-chan []*loopback.Call {
+		out := make(chan []*loopback.Call, 1)
+		go func() {
+			out <- loopback.Load{Rate: 60, Aim: 1500 * time.Millisecond, Give: 8 * time.Second, Seed: seed, To: to}.Call(ctx, s.sip)
+		}()
+		return out
+	}
+	old := load(ctx, 1, 1, 2, 3, 4, 5, 6)
+	d := s.operator()
+	change := "<config>" + exchanges(map[int]string{1: cores[0].Addr(), 7: cores[6].Addr(), 8: cores[7].Addr()}) +
+		`<circuit-groups xmlns="urn:brookmux:circuits"><group><a>7</a><b>8</b><size>30</size></group></circuit-groups></config>`
+	r, err := d.EditConfig("candidate", strings.ReplaceAll(change, "<b>8<", "<b>9<"))
+	require.NoError(t, err)
+	require.ErrorContains(t, r.Failed, "instance-required")
+	s.done(d.EditConfig("candidate", strings.ReplaceAll(change, "east", "west")))
+	r, err = d.Commit()
+	require.NoError(t, err)
+	require.ErrorContains(t, r.Failed, "none of the platform")
+	s.done(d.Discard())
+	require.NotContains(t, s.done(d.GetConfig("running")), "<zone>", "it was taken back")
+
+	s.done(d.EditConfig("candidate", change))
+	s.done(d.Validate("candidate"))
+	s.done(d.Commit(opoptions.WithCommitConfirmed()))
+	for i := range 2 { // both serve calls before the change is confirmed
+		for stood := false; !stood; {
+			short, end := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			for _, c := range <-load(short, uint64(10+i), 7+i) {
+				stood = stood || c.Stood > 0
+			}
+			end()
+		}
+	}
+	s.done(d.Commit())
+	got := s.done(d.Get(""))
+	for n, want := range map[int]string{2: "learned", 7: "intended", 8: "intended"} {
+		require.Regexp(t, fmt.Sprintf(`(?s)<number>%d</number>.*?<state>.*?<origin>%s</origin>`, n, want), got)
+	}
+	both := load(ctx, 2, 1, 2, 3, 4, 5, 6, 7, 8)
+	for cores[6].Asked() < 20 || cores[7].Asked() < 20 {
+		time.Sleep(10 * time.Millisecond) // calls come all the while
+	}
+	cancel()
+	for _, calls := range [][]*loopback.Call{<-old, <-both} {
+		require.NotEmpty(t, calls)
+		for _, c := range calls {
+			require.Positive(t, c.Stood, "a call from %v on was not served: %+v\n%s", c.At, c, s.out.text.String())
+			require.Equal(t, 1, c.Tries)
+		}
+	}
+	require.NoError(t, d.Close())
+	s.stop()
+
+	s.start()
+	d = s.operator()
+	require.Contains(t, s.done(d.GetConfig("running")), cores[7].Addr())
+	for stood := false; !stood; {
+		short, end := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		for _, c := range <-load(short, 20, 8) {
+			stood = stood || c.Stood > 0
+		}
+		end()
+	}
+	require.NoError(t, d.Close())
+	s.stop()
+}
+
+// TestOperateFile: what can't be served in the file is named, and the program does not start.
+func TestOperateFile(t *testing.T) {
+	_, host := keyFile(t)
+	user, _ := keyFile(t)
+	for text, words := range map[string]string{
+		"enabled = true\nport = 830\n":                                                                     "port",
+		"enabled = true\nkeep = 1001\n":                                                                    "keep is 1001",
+		"enabled = true\nhost_keys = [\"/none\"]\n":                                                        "host_keys[0]",
+		"enabled = true\nlisten = \"127.0.0.1:0\"\n":                                                       "listen: host_keys and a user are needed",
+		"enabled = true\n[[user]]\nname = \"a\"\n":                                                         "user[0].keys",
+		"enabled = true\n[[user]]\nkeys = [\"x\"]\n":                                                       "user[0]",
+		"enabled = true\n[[user]]\nname = \"a\"\nkeys = [\"ssh-x AAAA\"]\n":                                "user[0].keys[0]",
+		fmt.Sprintf("enabled = true\nhost_keys = [%q]\n[[user]]\nname = \"a\"\nkeys = [%q]\n", host, user): "",
+		"enabled = false\nkeep = -1\n":                                                                     "",
+	} {
+		path := filepath.Join(t.TempDir(), "netconf.toml")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		if _, err := loadOperate(path); words == "" {
+			require.NoError(t, err)
+		} else {
+			require.ErrorContains(t, err, words)
+		}
+	}
+}
--- a/cmd/brookmux/reload.go
+++ b/cmd/brookmux/reload.go
@@ -6,10 +6,8 @@
 	"log/slog"
 	"net"
 
-	"brookmux/internal/core"
 	"brookmux/internal/corelink"
 	"brookmux/internal/directory"
-	"brookmux/internal/sipfront"
 )
 
 // reloader lets a new platform configuration take effect while the program runs.
@@ -19,10 +17,8 @@
 	peers        int      // of the M3UA front
 	reader       directory.Reader
 	names        *directory.Service
-	engine       *core.Engine
 	links        *corelink.Pool
-	front        *sipfront.Front
-	manager      *manager
+	over         *overlay
 	tune         func(config)
 	serve        func(net.Listener)
 	unserve      context.CancelFunc // ends what serve began last
@@ -65,7 +61,8 @@
 			return err
 		}
 	}
-	if err := r.engine.Configure(next.settings, next.memory/8); err != nil { // the last that can fail
+	callers, _ := shares(next.sockets, r.peers)
+	if err := r.over.platform(next.settings, next.memory/8, callers); err != nil { // the last that can fail
 		names.Close()
 		if listener != nil {
 			listener.Close()
@@ -76,9 +73,6 @@
 	r.names.Move(names, reader)
 	r.names.Take(known) // older than the list in hand, as a rule: the numbers go on
 	r.links.SetWithin(next.settings.ConnectTimeout)
-	callers, _ := shares(next.sockets, r.peers)
-	r.front.SetMost(callers)
-	r.manager.setMost(next.settings.MostHeld)
 	r.tune(config{platform: next})
 	if listener != nil {
 		stop := r.unserve
--- a/internal/core/cold.go
+++ b/internal/core/cold.go
@@ -57,9 +57,16 @@
 	return from + (1-from)*float64(max(0, age))/float64(within)
 }
 
-// usual is how many set-ups a slot an exchange carries on usual days: as it was seen, or else as its circuits
-// tell.
+// SetPlanned takes what exchanges are planned to bear, in set-ups a second of all controllers, by number. It counts
+// for the guard on cold cores where nothing has been seen yet.
+func (e *Engine) SetPlanned(planned map[int]float64) { e.post(func() { e.planned = planned }) }
+
+// usual is how many set-ups a slot an exchange carries on usual days: as it was seen, or else this controller's part
+// of what it is planned to bear, or else as its circuits tell.
 func (e *Engine) usual(s brookmux.Switch, l *load) float64 {
+	if planned := e.planned[s.Number]; l.usual == 0 && planned > 0 {
+		return planned / float64(max(1, e.Settings.Module.Instances)) * coldSlot.Seconds()
+	}
 	if l.usual > 0 || e.Storm == nil || !e.Storm.Cold {
 		return l.usual
 	}
--- a/internal/core/cold_test.go
+++ b/internal/core/cold_test.go
@@ -32,4 +32,18 @@
 	require.InDelta(t, 4*0.8*(0.3+0.7*3/14)*20*2, passed, 2, "a burst right after the start")
 	e.now += 14 * time.Second
 	require.False(t, e.tooCold(2), "a core that is warm again")
+
+	// One that nobody has seen: its plan is shared by all controllers.
+	e.Settings.Module.Instances = 2
+	for planned, want := range map[float64]float64{0: coldLeast, 40: 4 * 0.8 * 0.3 * 20 * 2} {
+		e.loads, e.planned = map[int]*load{}, map[int]float64{3: planned}
+		e.switches[3] = brookmux.Switch{ID: 3, Number: 3, Since: e.now}
+		passed := 0
+		for range 100 {
+			if !e.tooCold(3) {
+				passed++
+			}
+		}
+		require.InDelta(t, want, passed, 1, planned)
+	}
 }
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -70,6 +70,7 @@
 	numbers   map[int]bool      // of the exchanges that were ever listed
 	told      map[int]Condition // how exchanges are, as last told
 	sizes     map[int]float64   // of the groups toward them, as last told
+	planned   map[int]float64   // set-ups a second that exchanges are planned to bear, by number
 	open      int               // calls that are owed an answer
 	mostBytes atomic.Int64      // of them, 0 for any number
 	held      atomic.Int64      // bytes of the requests that are queued or owed an answer
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -42,6 +42,9 @@
 	lastNext   = "last.new"
 )
 
+// errClosed tells that the journal was closed.
+var errClosed = errors.New("journal: closed")
+
 // Journal is open on a folder. Its methods may be called by one goroutine at a time.
 type Journal struct {
 	db     *pebble.DB
@@ -307,6 +310,7 @@
 	if j.broken != nil {
 		return nil
 	}
+	j.broken = errClosed
 	if err := j.db.Close(); err != nil {
 		return fmt.Errorf("journal: %w", err)
 	}
--- a/internal/standin/loopback/callers.go
+++ b/internal/standin/loopback/callers.go
@@ -21,6 +21,7 @@
 	Aim     time.Duration
 	Give    time.Duration // they give a call up after this
 	Seed    uint64
+	To      []int // exchanges called, one after another; none for exchange 1
 }
 
 // Call is what became of a caller's wish.
@@ -39,6 +40,7 @@
 	mu    sync.Mutex
 	calls []*Call
 	keys  uint64
+	turn  int // in To
 }
 
 // Call lets callers call until the context ends, and returns what became of them once the last has given up.
@@ -97,14 +99,18 @@
 	}
 	c.mu.Lock()
 	c.keys++
-	key := fmt.Sprintf("%016x", c.keys)
+	key, exchange := fmt.Sprintf("%016x", c.keys), 1
+	if len(c.To) > 0 {
+		exchange = c.To[c.turn%len(c.To)]
+		c.turn++
+	}
 	c.mu.Unlock()
 	mark := ""
 	if resent {
 		mark = "X-Resent: 1\r\n"
 	}
 	fmt.Fprintf(conn, "INVITE sip:%016x@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: %s\r\nCSeq: 1 INVITE\r\nX-Tier: page\r\n"+
-		"X-Deadline: %d\r\n%sX-Attrs: dest:1;width:1;via:-1\r\nContent-Length: 0\r\n\r\n", number, key, left.Milliseconds(), mark)
+		"X-Deadline: %d\r\n%sX-Attrs: dest:%d;width:1;via:-1\r\nContent-Length: 0\r\n\r\n", number, key, left.Milliseconds(), mark, exchange)
 	r := textproto.NewReader(bufio.NewReader(conn))
 	for conn.SetReadDeadline(until) == nil {
 		m, err := read(r)
--- a/internal/standin/loopback/core.go
+++ b/internal/standin/loopback/core.go
@@ -31,6 +31,7 @@
 	busy   time.Time       // until then the line works
 	worst  time.Duration
 	turned int
+	asked  int
 }
 
 type job struct {
@@ -75,6 +76,13 @@
 	return c.worst, c.turned
 }
 
+// Asked returns how many set-ups came.
+func (c *Core) Asked() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asked
+}
+
 func (c *Core) accept() {
 	for {
 		conn, err := c.listener.Accept()
@@ -124,6 +132,7 @@
 // offer queues a set-up, or turns it away.
 func (c *Core) offer(j job) {
 	c.mu.Lock()
+	c.asked++
 	waits := 0
 	for _, q := range c.queue {
 		if !c.given[q.id] {
--- a/internal/stormconf/stormconf.go
+++ b/internal/stormconf/stormconf.go
@@ -3,16 +3,13 @@
 package stormconf
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io/fs"
 	"os"
-	"strings"
-
-	"github.com/pelletier/go-toml/v2"
 
 	"brookmux/internal/storm"
+	"brookmux/internal/tomlfile"
 )
 
 // File is what deploy/storm.toml says.
@@ -66,14 +63,7 @@
 // Parse reads a file's text. An error names the line, or the field that can't be served.
 func Parse(text []byte) (File, error) {
 	var f File
-	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&f); err != nil {
-		var strict *toml.StrictMissingError
-		var decode *toml.DecodeError
-		if errors.As(err, &strict) {
-			err = errors.New("unknown field: " + strings.TrimSpace(strict.String()))
-		} else if errors.As(err, &decode) {
-			err = errors.New(strings.TrimSpace(decode.String()))
-		}
+	if err := tomlfile.Decode(text, &f); err != nil {
 		return File{}, err
 	}
 	for _, c := range []struct {
--- a/internal/transact/transact.go
+++ b/internal/transact/transact.go
@@ -125,6 +125,16 @@
 	o.settle(o.store.Close(id, o.Now()))
 }
 
+// End closes the journal, once nothing is under way. What comes after that is refused by it.
+func (o *Owner) End() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.Journal == nil {
+		return nil
+	}
+	return o.Journal.Close()
+}
+
 // Tick takes back a commit whose time for a confirmation is up. It is called some times a second.
 func (o *Owner) Tick() {
 	o.mu.Lock()
