gNMI on the same transactions: one Set, one transaction, with commit-confirmed

internal/mgmt reads and watches a Source now: the replicated store as before, or the transactional configuration, whose locks, guards and changes are those of NETCONF. Lists in JSON_IETF, union_replace, set_rollback_duration.

--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -121,20 +121,25 @@
 	}
 	go func() { failed <- names.Run(ctx) }()
 	manager, err := openManager(conf.manage, &manager{name: conf.name, log: log, level: level, engine: engine,
-		front: front, most: conf.settings.MostHeld}, failed)
+		front: front, most: conf.settings.MostHeld})
 	if err != nil {
 		return err
 	}
 	defer manager.close()
-	go manager.follow(ctx)
 	go manager.publish(ctx, phase, reports)
 	over := &overlay{engine: engine, front: front, most: manager.setMost, settings: conf.settings, bytes: conf.memory / 8,
 		callers: callers}
-	operator, err := openOperator(ctx, conf.op, place, over, conf.settings.Zones, log, failed)
+	operator, err := openOperator(ctx, conf.op, place, over, manager, conf.settings.Zones, failed)
 	if err != nil {
 		return err
 	}
 	defer operator.close()
+	if operator == nil {
+		go manager.follow(ctx)
+	}
+	if err := manager.serve(conf.manage, operator, failed); err != nil {
+		return err
+	}
 	// Before either front listens: the first call makes it serving, and from there no way leads back.
 	if err := phase.To(lifecycle.Ready); err != nil {
 		return err
--- a/cmd/brookmux/operate.go
+++ b/cmd/brookmux/operate.go
@@ -21,6 +21,7 @@
 	"brookmux/internal/directory"
 	"brookmux/internal/intent"
 	"brookmux/internal/journal"
+	"brookmux/internal/mgmt"
 	"brookmux/internal/netconf"
 	"brookmux/internal/schema"
 	"brookmux/internal/settings"
@@ -327,12 +328,15 @@
 type operator struct {
 	owner  *transact.Owner
 	server *netconf.Server
+	gnmi   *mgmt.Owned
+	model  *schema.Model
 	log    *slog.Logger
 }
 
 // openOperator opens the journal, lets what it holds take effect and serves NETCONF, as the file says.
-func openOperator(ctx context.Context, c operateConfig, place *placement, over *overlay, zones []string, log *slog.Logger,
+func openOperator(ctx context.Context, c operateConfig, place *placement, over *overlay, m *manager, zones []string,
 	failed chan<- error) (*operator, error) {
+	log := m.log
 	if !c.Enabled {
 		return nil, nil
 	}
@@ -340,12 +344,12 @@
 	if err != nil {
 		return nil, err
 	}
-	o := &operator{log: log}
+	o := &operator{log: log, model: model}
 	drains := &datastore.Drains{}
 	drains.Told(place.draining())
 	conf := transact.Config{Store: datastore.Config{Model: model, Keep: c.Keep, Sessions: mostSessions,
 		Guards: []datastore.Guard{drains.Guard, atStart}}, Now: time.Now, Log: log,
-		Parts: []transact.Part{settingsPart{over}, &exchangesPart{placement: place, zones: zones}},
+		Parts: []transact.Part{settingsPart{over}, managerPart{m}, &exchangesPart{placement: place, zones: zones}},
 		Told: func(e transact.Event) {
 			if o.server != nil {
 				o.server.Told(e)
@@ -371,6 +375,10 @@
 	}
 	place.mu.Unlock()
 	place.drains(place.draining()) // what came in between
+	o.gnmi = mgmt.NewOwned(o.owner, place.state, func() map[string]string {
+		set, _ := m.store.List("/border-control/controllers/")
+		return set
+	})
 	o.server = netconf.NewServer(netconf.Config{Owner: o.owner, Model: model, State: place.state, Now: time.Now, Log: log})
 	go o.tick(ctx, place)
 	if c.Listen == "" {
@@ -400,6 +408,7 @@
 		case <-t.C:
 			o.owner.Tick()
 			place.tick()
+			o.gnmi.Poll()
 		}
 	}
 }
--- a/internal/datastore/commit.go
+++ b/internal/datastore/commit.go
@@ -145,6 +145,23 @@
 	return t, nil
 }
 
+// Swap is Change by a function that changes a copy of running.
+func (s *Store) Swap(id SessionID, f func(*schema.Node) error, c Commit, at time.Time) (*Txn, error) {
+	if err := s.commitable(id, c.PersistID); err != nil {
+		return nil, err
+	}
+	next := s.running.Clone()
+	if err := f(next); err != nil {
+		return nil, err
+	}
+	t, err := s.begin(id, next, at, c.Comment)
+	if err != nil {
+		return nil, err
+	}
+	s.confirms(t, c)
+	return t, nil
+}
+
 // Copy begins the transaction that puts a whole configuration in the place of running or startup.
 func (s *Store) Copy(id SessionID, to Target, tree *schema.Node, at time.Time) (*Txn, error) {
 	if to == Running {
--- a/internal/mgmt/schema.go
+++ b/internal/mgmt/schema.go
@@ -11,11 +11,17 @@
 	"github.com/openconfig/gnmi/proto/gnmi"
 	"github.com/openconfig/goyang/pkg/yang"
 
+	"brookmux/internal/schema"
 	model "brookmux/yang"
 )
 
 // Schema is the model, as paths and values are checked against it.
-type Schema struct{ root *yang.Entry }
+type Schema struct {
+	root    *yang.Entry
+	modules []*gnmi.ModelData
+	of      map[string]string // the module of each node at the top
+	checked bool              // values are checked by whoever takes them
+}
 
 // errNoNode tells that the model has no such node.
 var errNoNode = errors.New("no such node in the model")
@@ -33,7 +39,45 @@
 	if len(errs) > 0 {
 		return nil, fmt.Errorf("mgmt: model: %w", errors.Join(errs...))
 	}
-	return &Schema{root}, nil
+	return &Schema{root: root, modules: []*gnmi.ModelData{{Name: model.Module, Organization: model.Organization,
+		Version: model.Revision}}, of: map[string]string{"border-control": model.Module}}, nil
+}
+
+// NewFullSchema reads all models as one tree, for a Source that checks values itself.
+func NewFullSchema(m *schema.Model) (*Schema, error) {
+	set := yang.NewModules()
+	for _, x := range m.Modules {
+		if err := set.Parse(x.Text, x.Name+".yang"); err != nil {
+			return nil, fmt.Errorf("mgmt: model: %w", err)
+		}
+	}
+	if errs := set.Process(); len(errs) > 0 {
+		return nil, fmt.Errorf("mgmt: model: %w", errors.Join(errs...))
+	}
+	s := &Schema{root: &yang.Entry{Name: "root", Kind: yang.DirectoryEntry, Dir: map[string]*yang.Entry{}}, of: map[string]string{},
+		checked: true}
+	for _, x := range m.Modules {
+		e := yang.ToEntry(set.Modules[x.Name])
+		s.modules = append(s.modules, &gnmi.ModelData{Name: x.Name, Organization: model.Organization, Version: x.Revision})
+		for name, top := range e.Dir {
+			s.root.Dir[name], s.of[name] = top, x.Name
+		}
+	}
+	for _, x := range below(s.root) { // a leafref's values are written as those of its target
+		if x.Type != nil && x.Type.Kind == yang.Yleafref {
+			to := x.Find(x.Type.Path)
+			if to == nil || to.Type == nil {
+				return nil, fmt.Errorf("mgmt: model: %s: leafref to no node: %s", x.Path(), x.Type.Path)
+			}
+			x.Type = to.Type
+		}
+	}
+	return s, nil
+}
+
+// known tells whether a module is served.
+func (s *Schema) known(name string) bool {
+	return slices.ContainsFunc(s.modules, func(m *gnmi.ModelData) bool { return m.GetName() == name })
 }
 
 // elem is an element of a path.
@@ -98,19 +142,19 @@
 }
 
 // fromGNMI joins a prefix and a path; module names before node names are left off.
-func fromGNMI(prefix, tail *gnmi.Path) (path, error) {
+func (s *Schema) fromGNMI(prefix, tail *gnmi.Path) (path, error) {
 	var p path
 	for _, part := range []*gnmi.Path{prefix, tail} {
 		if len(part.GetElement()) > 0 { //nolint:staticcheck // the old form has to be refused by name
 			return nil, errors.New("paths of the old form are not taken")
 		}
-		if o := part.GetOrigin(); o != "" && o != model.Module {
+		if o := part.GetOrigin(); o != "" && !s.known(o) {
 			return nil, fmt.Errorf("unknown origin %q", o)
 		}
 		for _, e := range part.GetElem() {
 			name := e.GetName()
 			if module, rest, ok := strings.Cut(name, ":"); ok {
-				if module != model.Module {
+				if !s.known(module) {
 					return nil, fmt.Errorf("unknown module %q", module)
 				}
 				name = rest
@@ -243,7 +287,10 @@
 }
 
 // check tells whether a text is a value of a leaf.
-func check(x *yang.Entry, text string) error {
+func (s *Schema) check(x *yang.Entry, text string) error {
+	if s.checked {
+		return nil
+	}
 	t := x.Type
 	bad := fmt.Errorf("%s: %q is not a value of type %s", x.Name, text, t.Name)
 	switch t.Kind {
--- a/internal/mgmt/server.go
+++ b/internal/mgmt/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/openconfig/gnmi/proto/gnmi"
+	"github.com/openconfig/gnmi/proto/gnmi_ext"
 	"github.com/openconfig/goyang/pkg/yang"
 	"github.com/valyala/fastjson"
 	"google.golang.org/grpc/codes"
@@ -17,7 +18,6 @@
 
 	"brookmux/internal/jsontext"
 	"brookmux/internal/store"
-	model "brookmux/yang"
 )
 
 // version of the gNMI specification that the server follows.
@@ -27,19 +27,48 @@
 type Server struct {
 	gnmi.UnimplementedGNMIServer
 	schema *Schema
-	store  *store.Store
+	store  Source
 	log    *slog.Logger
 }
 
+// Source holds what a Server serves, by path. The replicated store is one, and Owned another.
+type Source interface {
+	// List returns the paths under a prefix with their values, and a revision.
+	List(prefix string) (map[string]string, uint64)
+	// Watch returns the changes from now on; the channel closes with cancel, and when its reader lags too far behind.
+	Watch() (changes <-chan []store.Op, cancel func())
+	// Set makes a change as one, or returns a gRPC status and changes nothing.
+	Set(ctx context.Context, ops []store.Op, commit *gnmi_ext.Commit) error
+}
+
+// Replicated is the replicated store as a Source.
+type Replicated struct{ *store.Store }
+
+// Set implements Source.
+func (r Replicated) Set(ctx context.Context, ops []store.Op, commit *gnmi_ext.Commit) error {
+	if commit != nil {
+		return status.Error(codes.Unimplemented, "commit-confirmed")
+	}
+	switch _, err := r.Apply(ctx, store.Change{Ops: ops}); {
+	case errors.Is(err, store.ErrNoLeader):
+		return status.Error(codes.Unavailable, err.Error())
+	case errors.Is(err, store.ErrStale):
+		return status.Error(codes.Aborted, err.Error())
+	case err != nil:
+		return status.Error(codes.Internal, err.Error())
+	}
+	return nil
+}
+
 // NewServer returns a Server.
-func NewServer(schema *Schema, s *store.Store, log *slog.Logger) *Server {
+func NewServer(schema *Schema, s Source, log *slog.Logger) *Server {
 	return &Server{schema: schema, store: s, log: log}
 }
 
 // Capabilities implements gnmi.GNMIServer, as do the methods below.
 func (s *Server) Capabilities(context.Context, *gnmi.CapabilityRequest) (*gnmi.CapabilityResponse, error) {
 	return &gnmi.CapabilityResponse{
-		SupportedModels:    []*gnmi.ModelData{{Name: model.Module, Organization: model.Organization, Version: model.Revision}},
+		SupportedModels:    s.schema.modules,
 		SupportedEncodings: []gnmi.Encoding{gnmi.Encoding_JSON, gnmi.Encoding_JSON_IETF, gnmi.Encoding_PROTO},
 		GNMIVersion:        version,
 	}, nil
@@ -99,7 +128,7 @@
 	if err := encodes(r.GetEncoding()); err != nil {
 		return nil, err
 	}
-	if err := known(r.GetUseModels()); err != nil {
+	if err := s.schema.serves(r.GetUseModels()); err != nil {
 		return nil, err
 	}
 	want := func(x *yang.Entry) bool {
@@ -113,7 +142,7 @@
 	}
 	out := &gnmi.GetResponse{}
 	for _, one := range r.GetPath() {
-		p, err := fromGNMI(r.GetPrefix(), one)
+		p, err := s.schema.fromGNMI(r.GetPrefix(), one)
 		if err != nil {
 			return nil, wrong(err)
 		}
@@ -131,7 +160,7 @@
 				n.Update = append(n.Update, l.update(r.GetEncoding()))
 			}
 		default:
-			text := tree(leaves, len(p), r.GetEncoding() == gnmi.Encoding_JSON_IETF && len(p) == 0)
+			text := s.schema.tree(leaves, len(p), r.GetEncoding() == gnmi.Encoding_JSON_IETF && len(p) == 0)
 			n.Update = append(n.Update, &gnmi.Update{Path: p.gnmi(), Val: jsonValue(r.GetEncoding(), text)})
 		}
 		out.Notification = append(out.Notification, n)
@@ -139,10 +168,10 @@
 	return out, nil
 }
 
-// known refuses models that are not served.
-func known(models []*gnmi.ModelData) error {
+// serves refuses models that are not served.
+func (s *Schema) serves(models []*gnmi.ModelData) error {
 	for _, m := range models {
-		if m.GetName() != model.Module {
+		if !s.known(m.GetName()) {
 			return status.Errorf(codes.Unimplemented, "model %q", m.GetName())
 		}
 	}
@@ -180,7 +209,7 @@
 }
 
 // tree writes leaves, which are sorted by path, as the JSON object of the node so many elements from the root.
-func tree(leaves []leaf, depth int, named bool) []byte {
+func (s *Schema) tree(leaves []leaf, depth int, named bool) []byte {
 	b := []byte{'{'}
 	for i := 0; i < len(leaves); {
 		name := leaves[i].path[depth].name
@@ -192,7 +221,7 @@
 			b = append(b, ',')
 		}
 		if named {
-			b = jsontext.Append(b, model.Module+":"+name)
+			b = jsontext.Append(b, s.of[name]+":"+name)
 		} else {
 			b = jsontext.Append(b, name)
 		}
@@ -201,9 +230,9 @@
 		case len(first.path) == depth+1:
 			b = first.json(b)
 		case first.path[depth].keys != nil:
-			b = list(b, leaves[i:end], depth)
+			b = s.list(b, leaves[i:end], depth)
 		default:
-			b = append(b, tree(leaves[i:end], depth+1, false)...)
+			b = append(b, s.tree(leaves[i:end], depth+1, false)...)
 		}
 		i = end
 	}
@@ -211,7 +240,7 @@
 }
 
 // list writes the entries of a list.
-func list(b []byte, leaves []leaf, depth int) []byte {
+func (s *Schema) list(b []byte, leaves []leaf, depth int) []byte {
 	b = append(b, '[')
 	for i := 0; i < len(leaves); {
 		at, end := leaves[i].path[:depth+1].String(), i
@@ -221,7 +250,7 @@
 		if i > 0 {
 			b = append(b, ',')
 		}
-		b = append(b, tree(leaves[i:end], depth+1, false)...)
+		b = append(b, s.tree(leaves[i:end], depth+1, false)...)
 		i = end
 	}
 	return append(b, ']')
@@ -229,9 +258,6 @@
 
 // Set changes the configuration: all of it, or nothing where one part is wrong.
 func (s *Server) Set(ctx context.Context, r *gnmi.SetRequest) (*gnmi.SetResponse, error) {
-	if len(r.GetUnionReplace()) > 0 {
-		return nil, status.Error(codes.Unimplemented, "union_replace")
-	}
 	out := &gnmi.SetResponse{Prefix: r.GetPrefix(), Timestamp: time.Now().UnixNano()}
 	var c store.Change
 	add := func(op gnmi.UpdateResult_Operation, one *gnmi.Path, v *gnmi.TypedValue) error {
@@ -255,16 +281,32 @@
 			return nil, wrong(err)
 		}
 	}
-	if len(c.Ops) == 0 {
+	if len(r.GetUnionReplace()) > 0 {
+		if len(c.Ops)+len(out.Response) > 0 || !s.schema.checked {
+			return nil, status.Error(codes.Unimplemented, "union_replace beside other changes")
+		}
+		for p := range s.schema.root.Dir { // all of the configuration makes way for the union of what is given
+			if ops, err := s.ops(nil, path{{name: p}}.gnmi(), nil, gnmi.UpdateResult_DELETE); err == nil {
+				c.Ops = append(c.Ops, ops...)
+			}
+		}
+		for _, u := range r.GetUnionReplace() {
+			if err := add(gnmi.UpdateResult_UNION_REPLACE, u.GetPath(), u.GetVal()); err != nil {
+				return nil, wrong(err)
+			}
+		}
+	}
+	var commit *gnmi_ext.Commit
+	for _, x := range r.GetExtension() {
+		if e := x.GetCommit(); e != nil {
+			commit = e
+		}
+	}
+	if len(c.Ops) == 0 && commit == nil {
 		return out, nil
 	}
-	switch _, err := s.store.Apply(ctx, c); {
-	case errors.Is(err, store.ErrNoLeader):
-		return nil, status.Error(codes.Unavailable, err.Error())
-	case errors.Is(err, store.ErrStale):
-		return nil, status.Error(codes.Aborted, err.Error())
-	case err != nil:
-		return nil, status.Error(codes.Internal, err.Error())
+	if err := s.store.Set(ctx, c.Ops, commit); err != nil {
+		return nil, err
 	}
 	s.log.Info("configuration set", "changes", len(c.Ops))
 	return out, nil
@@ -272,7 +314,7 @@
 
 // ops turns one part of a Set into changes of the store.
 func (s *Server) ops(prefix, one *gnmi.Path, v *gnmi.TypedValue, op gnmi.UpdateResult_Operation) ([]store.Op, error) {
-	p, err := fromGNMI(prefix, one)
+	p, err := s.schema.fromGNMI(prefix, one)
 	if err != nil {
 		return nil, err
 	}
@@ -284,12 +326,17 @@
 		return nil, errors.New(p.String() + " is state and can't be set")
 	}
 	var out []store.Op
-	if op != gnmi.UpdateResult_UPDATE {
+	if op == gnmi.UpdateResult_DELETE || op == gnmi.UpdateResult_REPLACE {
 		set, _ := s.store.List("")
 		for _, text := range slices.Sorted(maps.Keys(set)) {
 			at := parsePath(text)
 			if y, err := s.schema.entry(at); p.covers(at) && err == nil && !y.ReadOnly() {
-				out = append(out, store.Op{Path: text, Delete: true})
+				if s.schema.checked { // the node itself goes, with all in it
+					text = at[:len(p)].String()
+				}
+				if op := (store.Op{Path: text, Delete: true}); len(out) == 0 || out[len(out)-1] != op {
+					out = append(out, op)
+				}
 			}
 		}
 		if op == gnmi.UpdateResult_DELETE {
@@ -316,7 +363,7 @@
 	if !x.IsLeaf() {
 		return nil, errors.New(p.String() + " is no leaf: its value has to be JSON")
 	}
-	return append(out, store.Op{Path: p.String(), Value: text}), check(x, text)
+	return append(out, store.Op{Path: p.String(), Value: text}), s.schema.check(x, text)
 }
 
 // fromJSON reads a node's value.
@@ -344,14 +391,36 @@
 		default:
 			return nil, errors.New(p.String() + ": one value is needed")
 		}
-		return append(out, store.Op{Path: p.String(), Value: text}), check(x, text)
+		return append(out, store.Op{Path: p.String(), Value: text}), s.schema.check(x, text)
+	}
+	if x.IsList() && v.Type() == fastjson.TypeArray {
+		for _, entry := range v.GetArray() {
+			at := append(slices.Clone(p[:len(p)-1]), elem{p[len(p)-1].name, map[string]string{}})
+			for _, k := range strings.Fields(x.Key) {
+				if key := entry.Get(k); key == nil {
+					return nil, errors.New(p.String() + ": an entry has no " + k)
+				} else if key.Type() == fastjson.TypeString {
+					at[len(at)-1].keys[k] = string(key.GetStringBytes())
+				} else {
+					at[len(at)-1].keys[k] = key.String()
+				}
+			}
+			var err error
+			if out, err = s.fromValue(out, at, x, entry); err != nil {
+				return nil, err
+			}
+		}
+		return out, nil
 	}
 	object, err := v.Object()
-	if err != nil || x.IsList() {
-		return nil, errors.New(p.String() + ": an object is needed")
+	if err != nil || x.IsList() && !full(p, x) {
+		return nil, errors.New(p.String() + ": an object is needed, or an array of a list's entries")
 	}
 	object.Visit(func(key []byte, member *fastjson.Value) {
-		name := strings.TrimPrefix(string(key), model.Module+":")
+		name := string(key)
+		if module, rest, ok := strings.Cut(name, ":"); ok && s.schema.known(module) {
+			name = rest
+		}
 		child := x.Dir[name]
 		if err == nil && child == nil {
 			err = errors.New(p.String() + " has no node " + name)
--- a/internal/mgmt/subscribe.go
+++ b/internal/mgmt/subscribe.go
@@ -59,7 +59,7 @@
 	if err := encodes(list.GetEncoding()); err != nil {
 		return nil, err
 	}
-	if err := known(list.GetUseModels()); err != nil {
+	if err := s.schema.serves(list.GetUseModels()); err != nil {
 		return nil, err
 	}
 	if len(list.GetSubscription()) == 0 {
@@ -67,7 +67,7 @@
 	}
 	var out []*subscription
 	for _, one := range list.GetSubscription() {
-		p, err := fromGNMI(list.GetPrefix(), one.GetPath())
+		p, err := s.schema.fromGNMI(list.GetPrefix(), one.GetPath())
 		if err == nil {
 			_, err = s.schema.entries(p)
 		}
--- a/internal/schema/flat.go
+++ b/internal/schema/flat.go
@@ -65,6 +65,13 @@
 		if err != nil && !errors.Is(err, ErrExists) {
 			return fmt.Errorf("%s: %w", i.Path, err)
 		}
+		for n, k := range d.Keys { // they may have gone item by item
+			if c.kids[k] == nil {
+				if _, err := c.Add(d.byName[k], keys[n]); err != nil {
+					return fmt.Errorf("%s: %w", i.Path, err)
+				}
+			}
+		}
 		at = c
 	}
 	return nil
@@ -152,18 +159,18 @@
 			return err
 		}
 	}
-	n.prune()
+	n.Prune()
 	return nil
 }
 
-// prune removes containers that mean nothing and hold nothing, and entries that lost their keys: what is left of
+// Prune removes containers that mean nothing and hold nothing, and entries that lost their keys: what is left of
 // them went item by item.
-func (n *Node) prune() {
+func (n *Node) Prune() {
 	for _, c := range n.Children() {
 		if c.Def.Leafy() {
 			continue
 		}
-		c.prune()
+		c.Prune()
 		if c.Def.Kind == Container && !c.Def.Presence && c.Len() == 0 || c.Def.Kind == List && len(c.Def.Keys) > 0 && c.kids[c.Def.Keys[0]] == nil {
 			n.Remove(c)
 		}
