--- /dev/null
+++ b/cmd/brookmux/cli_test.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/crypto/ssh"
+	"golang.org/x/crypto/ssh/knownhosts"
+
+	"brookmux/internal/standin/loopback"
+)
+
+// cli runs the command line and returns its exit code with what it printed.
+func cli(getenv func(string) string, args ...string) (int, string, string) {
+	var out, errs bytes.Buffer
+	code := command(args, getenv, &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+// TestCheck: each file that can't be served is named with what is wrong in it, and the exit code tells.
+func TestCheck(t *testing.T) {
+	s := newSite(t, nil)
+	code, out, _ := cli(func(k string) string { return s.env[k] }, "check")
+	require.Zero(t, code, out)
+	for name, text := range map[string]string{"GW_CONFIG": "{", "BROOKMUX_STORM": "enabled = true\n\nspeed = 1\n", "BROOKMUX_M3UA": "speed = 1\n"} {
+		require.NoError(t, os.WriteFile(s.env[name], []byte(text), 0o600))
+	}
+	code, out, errs := cli(func(k string) string { return s.env[k] }, "check")
+	require.Equal(t, 1, code)
+	require.Contains(t, errs, "3 files can't be served")
+	require.Contains(t, out, s.env["BROOKMUX_STORM"])
+	require.Contains(t, out, "3| speed = 1", "the line")
+	require.Contains(t, out, s.env["BROOKMUX_NETCONF"]+": ok")
+}
+
+// TestHelp: help and version tell enough to work with; what is not known is an error.
+func TestHelp(t *testing.T) {
+	none := func(string) string { return "" }
+	code, out, _ := cli(none, "--help")
+	require.Zero(t, code)
+	for _, word := range []string{"serve", "check", "config", "watch", "version"} {
+		require.Contains(t, out, word)
+	}
+	code, out, _ = cli(none, "config", "commit", "--help")
+	require.Zero(t, code)
+	require.Contains(t, out, "--trial")
+	code, out, _ = cli(none, "version")
+	require.Zero(t, code)
+	require.Contains(t, out, "brookmux-exchanges 2026-12-01")
+	code, _, errs := cli(none, "fly")
+	require.Equal(t, 1, code)
+	require.Contains(t, errs, "fly")
+}
+
+// TestConfigCommands: a change from set to diff, a trial that is cancelled, one that is confirmed, history and the way
+// back, each by a command of its own.
+func TestConfigCommands(t *testing.T) {
+	t.Parallel()
+	core, err := loopback.NewCore(100, time.Second)
+	require.NoError(t, err)
+	t.Cleanup(func() { core.Close() })
+	s := newSite(t, []*loopback.Core{core})
+	s.start()
+	address := s.out.await(t, `msg="netconf listens".* address=(\S+)`)
+	text, err := os.ReadFile(s.host)
+	require.NoError(t, err)
+	host, err := ssh.ParsePrivateKey(text)
+	require.NoError(t, err)
+	hosts := filepath.Join(t.TempDir(), "known_hosts")
+	require.NoError(t, os.WriteFile(hosts, []byte(knownhosts.Line([]string{address}, host.PublicKey())+"\n"), 0o600))
+	do := func(args ...string) (string, string) {
+		args = append([]string{"config"}, args...)
+		_, out, errs := cli(func(string) string { return "" }, append(args, "--address", address, "--user", "op", "--key", s.key, "--hosts", hosts)...)
+		return out, errs
+	}
+	ok := func(args ...string) string {
+		out, errs := do(args...)
+		require.Empty(t, errs, args)
+		return out
+	}
+	const x = "/exchanges/exchange[number='4']/"
+	ok("set", "/limits/max-wait=5", x+"zone=east", x+"address=10.0.0.4:5060")
+	require.Equal(t, "+ "+x+"number = 4\n+ "+x+"address = 10.0.0.4:5060\n+ "+x+"zone = east\n+ /limits/max-wait = 5\n", ok("diff"))
+	ok("commit", "--trial", "5m")
+	require.Equal(t, "/limits/max-wait = 5\n", ok("get", "/limits"))
+	ok("cancel")
+	require.Empty(t, ok("get"))
+	ok("set", "/limits/max-wait=5")
+	ok("commit", "--trial", "5m", "--persist", "a<b")
+	_, errs := do("confirm")
+	require.Contains(t, errs, "invalid-value")
+	ok("confirm", "--persist", "a<b")
+	ok("set", "/limits/max-wait=6", "/limits/max-callers=9")
+	ok("commit")
+	ok("set", "--remove", "/limits/max-callers")
+	require.Equal(t, "- /limits/max-callers = 9\n", ok("diff"))
+	ok("discard")
+	require.Empty(t, ok("diff"))
+	_, errs = do("set", "/limits/max-wait=soon")
+	require.Contains(t, errs, `"soon" is not a value of max-wait`)
+	_, errs = do("set", "--remove", "/limits/max-open-calls")
+	require.Contains(t, errs, "data-missing")
+	history := strings.Split(strings.TrimSpace(ok("history")), "\n")
+	require.Contains(t, history[0], "commit op/netconf 2 changes")
+	var back string
+	for _, line := range history {
+		if strings.Contains(line, " confirm ") {
+			back = strings.Fields(line)[0]
+		}
+	}
+	ok("rollback", back, "--comment", "too many <callers>")
+	require.Equal(t, "/limits/max-wait = 5\n", ok("get", "/limits"))
+	require.Contains(t, strings.Split(ok("history"), "\n")[0], "too many <callers>")
+	require.Contains(t, ok("get", "--datastore", "state", "/exchanges"), "state/origin = learned")
+	_, errs = do("rollback", "999")
+	require.Contains(t, errs, "revision 999 is not kept")
+	require.NoError(t, os.WriteFile(hosts, nil, 0o600))
+	_, errs = do("get")
+	require.Contains(t, errs, "key is unknown", fmt.Sprint("a host that is not known"))
+	s.stop()
+}
--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -11,11 +11,9 @@
 	"math"
 	"net"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"brookmux"
@@ -31,18 +29,7 @@
 // long ago.
 const before = time.Hour
 
-func main() {
-	level := &slog.LevelVar{}
-	log := slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: level}))
-	// A channel each: a signal that finds its channel full is dropped, and a reload must never hide the end.
-	s := signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
-	signal.Notify(s.stop, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(s.reload, syscall.SIGHUP)
-	if err := run(context.Background(), os.Getenv, s, log, level, tune); err != nil {
-		log.Error("brookmux", "error", err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(command(os.Args[1:], os.Getenv, os.Stdout, os.Stderr)) }
 
 // signals are what the program is told from outside: to end, or to read its configuration again.
 type signals struct{ stop, reload chan os.Signal }
--- a/cmd/brookmux/manage.go
+++ b/cmd/brookmux/manage.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/openconfig/gnmi/proto/gnmi"
-	"github.com/pelletier/go-toml/v2"
 	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
@@ -27,6 +26,7 @@
 	"brookmux/internal/schema"
 	"brookmux/internal/sipfront"
 	"brookmux/internal/store"
+	"brookmux/internal/tomlfile"
 )
 
 // Paths of the model that the program itself reads and writes.
@@ -99,7 +99,7 @@
 	if err != nil {
 		return c, fmt.Errorf("store: configuration: %w", err)
 	}
-	if err := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields().Decode(&c); err != nil {
+	if err := tomlfile.Decode(text, &c); err != nil {
 		return c, fmt.Errorf("store: configuration %s: %w", path, err)
 	}
 	return c, nil
--- a/cmd/brookmux/operate_test.go
+++ b/cmd/brookmux/operate_test.go
@@ -85,6 +85,7 @@
 	t       *testing.T
 	env     map[string]string
 	key     string
+	host    string // file with the key that the program shows itself by
 	journal string
 	out     *output
 	process playback.Process
@@ -105,7 +106,7 @@
 	s := &site{t: t, journal: filepath.Join(dir, "journal"), env: map[string]string{}}
 	_, host := keyFile(t)
 	user, key := keyFile(t)
-	s.key = key
+	s.key, s.host = key, host
 	for name, text := range map[string]string{
 		"GW_CONFIG": fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,
 "sockets":1024},"nameserver":%q,"known":{"rev":1,"notices":[{"rev":1,"pool":{"revision":1,"complete":true,"members":[%s]}}]},
--- a/internal/m3ua/config.go
+++ b/internal/m3ua/config.go
@@ -5,10 +5,9 @@
 	"fmt"
 	"io/fs"
 	"os"
-	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"brookmux/internal/tomlfile"
 )
 
 // Config is what deploy/m3ua.toml says.
@@ -63,20 +62,15 @@
 
 // Load reads a configuration; where there is none, the front is off.
 func Load(path string) (Config, error) {
-	f, err := os.Open(path)
+	text, err := os.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return Config{}, nil
 	}
 	if err != nil {
 		return Config{}, fmt.Errorf("m3ua: configuration: %w", err)
 	}
-	defer f.Close()
 	var c Config
-	if err := toml.NewDecoder(f).DisallowUnknownFields().Decode(&c); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) {
-			err = errors.New(strings.TrimSpace(strict.String()))
-		}
+	if err := tomlfile.Decode(text, &c); err != nil {
 		return c, fmt.Errorf("m3ua: configuration %s: %w", path, err)
 	}
 	return c, c.check()
--- a/internal/netconf/message.go
+++ b/internal/netconf/message.go
@@ -20,6 +20,7 @@
 	base       = "urn:ietf:params:xml:ns:netconf:base:1.0"
 	monitoring = "urn:ietf:params:xml:ns:yang:ietf-netconf-monitoring"
 	defaults   = "urn:ietf:params:xml:ns:yang:ietf-netconf-with-defaults"
+	history    = "urn:brookmux:transactions"
 	tagged     = "urn:ietf:params:xml:ns:netconf:default:1.0"
 )
 
--- a/internal/netconf/ops.go
+++ b/internal/netconf/ops.go
@@ -33,6 +33,7 @@
 		base + " kill-session":          (*session).killSession,
 		monitoring + " get-schema":      (*session).getSchema,
 		events + " create-subscription": (*session).subscribe,
+		history + " rollback":           (*session).rollback,
 	}
 }
 
@@ -118,6 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
+	x.server.Owner.Look(func(s *datastore.Store) { transactions(tree, s.History()) })
 	if x.server.State != nil {
 		x.server.State(tree)
 	}
@@ -343,6 +345,36 @@
 	return nil, nil
 }
 
+// rollback puts an earlier revision in force again (module brookmux-transactions).
+func (x *session) rollback(op *etree.Element) ([]byte, error) {
+	if err := params(op, "revision", "comment"); err != nil {
+		return nil, err
+	}
+	n, err := strconv.ParseUint(text(op, "revision"), 10, 64)
+	if err != nil {
+		return nil, bad("revision", "the number of a revision is needed")
+	}
+	return nil, x.make(func(s *datastore.Store, at time.Time) (*datastore.Txn, error) {
+		return s.Rollback(x.who.ID, n, at, text(op, "comment"))
+	})
+}
+
+// transactions adds the history to a tree.
+func transactions(tree *schema.Node, records []datastore.Record) {
+	for _, r := range records {
+		at := fmt.Sprintf("/transactions/transaction[revision='%d']/", r.N)
+		for leaf, v := range map[string]string{"kind": string(r.Kind), "user": r.User, "via": r.Via, "comment": r.Comment,
+			"at": r.At.UTC().Format(time.RFC3339Nano), "changes": strconv.Itoa(len(r.Changes))} {
+			if v != "" {
+				_ = tree.Put(schema.Item{Path: at + leaf, Value: v}) // what a comment can't hold is left out
+			}
+		}
+		if r.Of > 0 {
+			_ = tree.Put(schema.Item{Path: at + "of", Value: strconv.FormatUint(r.Of, 10)}) // the model has it
+		}
+	}
+}
+
 // getSchema returns a module's text (RFC 6022, 3.1).
 func (x *session) getSchema(op *etree.Element) ([]byte, error) {
 	if err := params(op, "identifier", "version", "format"); err != nil {
