--- a/cmd/brookmux/operate.go
+++ b/cmd/brookmux/operate.go
@@ -22,6 +22,7 @@
 	"brookmux/internal/intent"
 	"brookmux/internal/journal"
 	"brookmux/internal/mgmt"
+	"brookmux/internal/nacm"
 	"brookmux/internal/netconf"
 	"brookmux/internal/schema"
 	"brookmux/internal/settings"
@@ -47,10 +48,13 @@
 	Users    []struct {
 		Name string   `toml:"name"`
 		Keys []string `toml:"keys"` // as in authorized_keys
+		// Recovery is for one who may do everything, whatever the rules under /nacm say (RFC 8341, 3.5.2).
+		Recovery bool `toml:"recovery"`
 	} `toml:"user"`
 
 	hosts []ssh.Signer
 	users map[string][]ssh.PublicKey
+	all   map[string]bool // recovery users
 }
 
 // loadOperate reads the file; where there is none, operators change nothing while the program runs.
@@ -94,11 +98,12 @@
 		}
 		c.hosts = append(c.hosts, k)
 	}
-	c.users = map[string][]ssh.PublicKey{}
+	c.users, c.all = map[string][]ssh.PublicKey{}, map[string]bool{}
 	for i, u := range c.Users {
 		if u.Name == "" || c.users[u.Name] != nil {
 			return fmt.Errorf("user[%d]: a name is needed, of each user once", i)
 		}
+		c.all[u.Name] = u.Recovery
 		for n, text := range u.Keys {
 			k, _, _, _, err := ssh.ParseAuthorizedKey([]byte(text))
 			if err != nil {
@@ -330,6 +335,7 @@
 	server *netconf.Server
 	gnmi   *mgmt.Owned
 	model  *schema.Model
+	all    map[string]bool // recovery users
 	log    *slog.Logger
 }
 
@@ -344,11 +350,17 @@
 	if err != nil {
 		return nil, err
 	}
-	o := &operator{log: log, model: model}
+	o := &operator{log: log, model: model, all: c.all}
 	drains := &datastore.Drains{}
 	drains.Told(place.draining())
 	conf := transact.Config{Store: datastore.Config{Model: model, Keep: c.Keep, Sessions: mostSessions,
-		Guards: []datastore.Guard{drains.Guard, atStart}}, Now: time.Now, Log: log,
+		Guards: []datastore.Guard{drains.Guard, atStart, nacm.Check},
+		Access: func(who datastore.Session, running, old, next *schema.Node, changes []schema.Change) []schema.Fault {
+			if c.all[who.User] {
+				return nil
+			}
+			return nacm.Of(running).Changes(who.User, old, next, changes)
+		}}, Now: time.Now, Log: log,
 		Parts: []transact.Part{settingsPart{over}, managerPart{m}, &exchangesPart{placement: place, zones: zones}},
 		Told: func(e transact.Event) {
 			if o.server != nil {
@@ -378,8 +390,8 @@
 	o.gnmi = mgmt.NewOwned(o.owner, place.state, func() map[string]string {
 		set, _ := m.store.List("/border-control/controllers/")
 		return set
-	})
-	o.server = netconf.NewServer(netconf.Config{Owner: o.owner, Model: model, State: place.state, Now: time.Now, Log: log})
+	}, o.rules)
+	o.server = netconf.NewServer(netconf.Config{Owner: o.owner, Model: model, State: place.state, Now: time.Now, Log: log, Rules: o.rules})
 	go o.tick(ctx, place)
 	if c.Listen == "" {
 		return o, nil
@@ -397,6 +409,19 @@
 	return o, nil
 }
 
+// rules are those that hold for a user now, nil for one who may do everything.
+func (o *operator) rules(user string) (r *nacm.Rules) {
+	if o.all[user] {
+		return nil
+	}
+	o.owner.Look(func(s *datastore.Store) {
+		if tree, err := s.Get(datastore.Running); err == nil {
+			r = nacm.Of(tree)
+		}
+	})
+	return r
+}
+
 // tick takes back what was not confirmed in time, and lets go what lingered.
 func (o *operator) tick(ctx context.Context, place *placement) {
 	t := time.NewTicker(operateEvery)
--- a/internal/datastore/commit.go
+++ b/internal/datastore/commit.go
@@ -179,6 +179,9 @@
 	if to != Startup {
 		return nil, wrong(schema.InvalidValue, "", "no datastore %q to copy to by a transaction", to)
 	}
+	if err := s.allowed(id, s.startup, tree); err != nil {
+		return nil, err
+	}
 	if faults := s.Model.Validate(tree); len(faults) > 0 {
 		return nil, &Error{Faults: faults}
 	}
@@ -207,6 +210,9 @@
 
 // begin starts a transaction towards a tree, which is checked as a whole.
 func (s *Store) begin(id SessionID, next *schema.Node, at time.Time, comment string) (*Txn, error) {
+	if err := s.allowed(id, s.running, next); err != nil {
+		return nil, err
+	}
 	if err := s.Check(next); err != nil {
 		return nil, err
 	}
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -64,8 +64,13 @@
 	Keep     int // revisions that can be gone back to
 	Sessions int // most at a time
 	Guards   []Guard
+	Access   Access // nil: everybody may change everything
 }
 
+// Access tells which of the changes between two trees a session may not make. The rules are those of running, as long
+// as it is in force.
+type Access func(who Session, running, old, next *schema.Node, changes []schema.Change) []schema.Fault
+
 // Store is the state of all datastores. Its methods are called by one owner.
 type Store struct {
 	Config
@@ -213,12 +218,27 @@
 		return err
 	}
 	next, err := s.after(s.candidate, e)
-	if next != nil && e.Test != TestOnly {
-		s.candidate, s.edited = next, true
+	if next == nil || e.Test == TestOnly {
+		return err
+	}
+	if err := s.allowed(id, s.candidate, next); err != nil {
+		return err
 	}
+	s.candidate, s.edited = next, true
 	return err
 }
 
+// allowed tells whether a session may turn one tree into another.
+func (s *Store) allowed(id SessionID, old, next *schema.Node) error {
+	if s.Access == nil {
+		return nil
+	}
+	if faults := s.Access(s.sessions[id], s.running, old, next, schema.Diff(old, next)); len(faults) > 0 {
+		return &Error{Faults: faults}
+	}
+	return nil
+}
+
 // after returns a tree with an edit made, or nil where nothing of it is kept, and what was wrong with it.
 func (s *Store) after(base *schema.Node, e Edit) (*schema.Node, error) {
 	next := base.Clone()
@@ -253,6 +273,9 @@
 	if err := s.free(id, Candidate); err != nil {
 		return err
 	}
+	if err := s.allowed(id, s.candidate, tree); err != nil {
+		return err
+	}
 	s.candidate, s.edited = tree.Clone(), true
 	return nil
 }
--- a/internal/mgmt/owned.go
+++ b/internal/mgmt/owned.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc/status"
 
 	"brookmux/internal/datastore"
+	"brookmux/internal/nacm"
 	"brookmux/internal/schema"
 	"brookmux/internal/store"
 	"brookmux/internal/transact"
@@ -29,15 +30,19 @@
 	owner *transact.Owner
 	state func(tree *schema.Node)  // adds what is seen of the configuration's nodes
 	more  func() map[string]string // state by path that is kept elsewhere
+	rules func(user string) *nacm.Rules
+	root  *schema.Def
 
 	mu       sync.Mutex
 	watchers map[chan []store.Op]struct{}
 	seen     map[string]string // what Poll told last
 }
 
-// NewOwned returns a Source on an owner.
-func NewOwned(o *transact.Owner, state func(*schema.Node), more func() map[string]string) *Owned {
-	return &Owned{owner: o, state: state, more: more, watchers: map[chan []store.Op]struct{}{}}
+// NewOwned returns a Source on an owner. rules are those that hold for a user now, nil for all.
+func NewOwned(o *transact.Owner, state func(*schema.Node), more func() map[string]string, rules func(string) *nacm.Rules) *Owned {
+	var root *schema.Def
+	o.Look(func(s *datastore.Store) { root = s.Model.Root })
+	return &Owned{owner: o, root: root, state: state, more: more, rules: rules, watchers: map[chan []store.Op]struct{}{}}
 }
 
 // stored writes an item's path as paths are written here; elements of leaf-lists have none.
@@ -91,6 +96,16 @@
 	return out, last
 }
 
+// Readable implements Source.
+func (o *Owned) Readable(ctx context.Context) func(string) bool {
+	name := user(ctx)
+	r := o.rules(name)
+	if r == nil {
+		return func(string) bool { return true }
+	}
+	return func(text string) bool { return r.Path(name, o.root, item(text)) }
+}
+
 // Watch implements Source.
 func (o *Owned) Watch() (<-chan []store.Op, func()) {
 	c := make(chan []store.Op, mostBehind)
--- a/internal/mgmt/owned_test.go
+++ b/internal/mgmt/owned_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"brookmux/internal/datastore"
+	"brookmux/internal/nacm"
 	"brookmux/internal/schema"
 	"brookmux/internal/transact"
 	"brookmux/yang"
@@ -42,6 +43,13 @@
 		require.NoError(t, tree.Put(schema.Item{Path: "/exchanges/exchange[number='2']/state/origin", Value: "learned"}))
 	}, func() map[string]string {
 		return map[string]string{"/border-control/controllers/controller[name=n0]/phase": "serving"}
+	}, func(user string) (r *nacm.Rules) {
+		b.owner.Look(func(s *datastore.Store) {
+			tree, err := s.Get(datastore.Running)
+			require.NoError(t, err)
+			r = nacm.Of(tree)
+		})
+		return r
 	})
 	s, err := NewFullSchema(m)
 	require.NoError(t, err)
@@ -159,6 +167,25 @@
 	require.Equal(t, codes.OK, b.set(r))
 }
 
+// TestOwnedRules: what a rule hides is not read.
+func TestOwnedRules(t *testing.T) {
+	b := newBench(t)
+	require.Equal(t, codes.OK, b.set(&gnmi.SetRequest{Update: []*gnmi.Update{json("/limits/max-wait", "5"), json("/nacm/rule-list[name=a]",
+		`{"rule":[{"name":"r","path":"/limits/max-wait","access-operations":"read","action":"deny"}]}`)}}))
+	require.Equal(t, "5", b.get("/limits/max-wait"), "the rules are for no group yet")
+	require.Equal(t, "NotFound", b.get("/nacm/rule-list[name=a]/name"))
+	_, err := b.owner.Make(func(s *datastore.Store, now time.Time) (*datastore.Txn, error) {
+		who, err := s.Open("op", "netconf")
+		require.NoError(t, err)
+		return s.Swap(who.ID, func(tree *schema.Node) error {
+			return tree.Put(schema.Item{Path: "/nacm/rule-list[name='a']/group[.='*']", Value: "*"})
+		}, datastore.Commit{}, now)
+	})
+	require.NoError(t, err)
+	require.Equal(t, "NotFound", b.get("/limits/max-wait"))
+	require.Equal(t, `"learned"`, b.get("/exchanges/exchange[number=2]/state/origin"))
+}
+
 // subscriber is one end of a subscription.
 type subscriber struct {
 	grpc.ServerStream
--- a/internal/mgmt/schema.go
+++ b/internal/mgmt/schema.go
@@ -58,6 +58,7 @@
 		checked: true}
 	for _, x := range m.Modules {
 		e := yang.ToEntry(set.Modules[x.Name])
+		flatten(e)
 		s.modules = append(s.modules, &gnmi.ModelData{Name: x.Name, Organization: model.Organization, Version: x.Revision})
 		for name, top := range e.Dir {
 			s.root.Dir[name], s.of[name] = top, x.Name
@@ -75,6 +76,19 @@
 	return s, nil
 }
 
+// flatten puts the nodes of all cases in the place of their choices, which are no nodes of the data.
+func flatten(x *yang.Entry) {
+	for name, c := range x.Dir {
+		flatten(c)
+		if c.IsChoice() || c.IsCase() {
+			delete(x.Dir, name)
+			for n, under := range c.Dir {
+				x.Dir[n] = under
+			}
+		}
+	}
+}
+
 // known tells whether a module is served.
 func (s *Schema) known(name string) bool {
 	return slices.ContainsFunc(s.modules, func(m *gnmi.ModelData) bool { return m.GetName() == name })
--- a/internal/mgmt/server.go
+++ b/internal/mgmt/server.go
@@ -37,6 +37,8 @@
 	List(prefix string) (map[string]string, uint64)
 	// Watch returns the changes from now on; the channel closes with cancel, and when its reader lags too far behind.
 	Watch() (changes <-chan []store.Op, cancel func())
+	// Readable tells what the caller may read, by path.
+	Readable(ctx context.Context) func(path string) bool
 	// Set makes a change as one, or returns a gRPC status and changes nothing.
 	Set(ctx context.Context, ops []store.Op, commit *gnmi_ext.Commit) error
 }
@@ -44,6 +46,11 @@
 // Replicated is the replicated store as a Source.
 type Replicated struct{ *store.Store }
 
+// Readable implements Source: all of it.
+func (r Replicated) Readable(context.Context) func(string) bool {
+	return func(string) bool { return true }
+}
+
 // Set implements Source.
 func (r Replicated) Set(ctx context.Context, ops []store.Op, commit *gnmi_ext.Commit) error {
 	if commit != nil {
@@ -107,12 +114,12 @@
 }
 
 // under returns the leaves that a path covers, by path.
-func (s *Server) under(p path, want func(*yang.Entry) bool) []leaf {
+func (s *Server) under(ctx context.Context, p path, want func(*yang.Entry) bool) []leaf {
 	var out []leaf
-	all := s.values()
+	all, readable := s.values(), s.store.Readable(ctx)
 	for _, text := range slices.Sorted(maps.Keys(all)) {
 		at := parsePath(text)
-		if !p.covers(at) {
+		if !p.covers(at) || !readable(text) {
 			continue
 		}
 		// What an older or newer model left in the store has no node here, and is not shown.
@@ -124,7 +131,7 @@
 }
 
 // Get returns values.
-func (s *Server) Get(_ context.Context, r *gnmi.GetRequest) (*gnmi.GetResponse, error) {
+func (s *Server) Get(ctx context.Context, r *gnmi.GetRequest) (*gnmi.GetResponse, error) {
 	if err := encodes(r.GetEncoding()); err != nil {
 		return nil, err
 	}
@@ -150,7 +157,7 @@
 		if err != nil {
 			return nil, wrong(err)
 		}
-		leaves := s.under(p, want)
+		leaves := s.under(ctx, p, want)
 		n := &gnmi.Notification{Timestamp: time.Now().UnixNano()}
 		switch {
 		case len(leaves) == 0:
--- a/internal/mgmt/subscribe.go
+++ b/internal/mgmt/subscribe.go
@@ -118,7 +118,7 @@
 func (w *writer) values(x *subscription) *gnmi.Notification {
 	n := &gnmi.Notification{}
 	now := map[string]string{}
-	for _, l := range w.server.under(x.path, func(*yang.Entry) bool { return true }) {
+	for _, l := range w.server.under(w.stream.Context(), x.path, func(*yang.Entry) bool { return true }) {
 		text := l.path.String()
 		now[text] = l.text
 		if last, ok := x.last[text]; !ok || last != l.text || !x.changed {
@@ -197,7 +197,11 @@
 	n := &gnmi.Notification{}
 	last := map[string]store.Op{}
 	var order []string
+	readable := w.server.store.Readable(w.stream.Context())
 	for _, op := range ops {
+		if !readable(op.Path) {
+			continue
+		}
 		if _, ok := last[op.Path]; !ok {
 			order = append(order, op.Path)
 		}
--- /dev/null
+++ b/internal/nacm/nacm_test.go
@@ -0,0 +1,118 @@
+package nacm
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"brookmux/internal/schema"
+	"brookmux/yang"
+)
+
+const rules = `
+	/nacm/groups/group[name='desk']/user-name[.='ann']
+	/nacm/groups/group[name='admin']/user-name[.='bob']
+	/nacm/rule-list[name='z']/group[.='admin']
+	/nacm/rule-list[name='z']/rule[name='all']/action = permit
+	/nacm/rule-list[name='desk']/group[.='desk']
+	/nacm/rule-list[name='desk']/rule[name='one']/path = /exchanges/exchange[number='1']
+	/nacm/rule-list[name='desk']/rule[name='one']/access-operations = update read
+	/nacm/rule-list[name='desk']/rule[name='one']/action = permit
+	/nacm/rule-list[name='desk']/rule[name='lim']/module-name = brookmux-limits
+	/nacm/rule-list[name='desk']/rule[name='lim']/action = deny
+	/nacm/rule-list[name='desk']/rule[name='com']/rpc-name = commit
+	/nacm/rule-list[name='desk']/rule[name='com']/action = deny
+	/nacm/rule-list[name='desk']/rule[name='kill']/rpc-name = kill-session
+	/nacm/rule-list[name='desk']/rule[name='kill']/action = permit
+	/nacm/rule-list[name='rest']/group[.='*']
+	/nacm/rule-list[name='rest']/rule[name='zone']/path = /bmx-ex:exchanges/exchange/zone
+	/nacm/rule-list[name='rest']/rule[name='zone']/access-operations = read
+	/nacm/rule-list[name='rest']/rule[name='zone']/action = deny
+	/nacm/rule-list[name='rest']/rule[name='note']/notification-name = netconf-config-change
+	/nacm/rule-list[name='rest']/rule[name='note']/action = deny
+	/limits/max-wait = 5
+	/exchanges/exchange[number='1']/zone = a
+	/exchanges/exchange[number='2']/zone = b
+`
+
+func tree(t *testing.T, lines string) *schema.Node {
+	m, err := schema.Load(yang.Files)
+	require.NoError(t, err)
+	n := m.NewTree()
+	for line := range strings.Lines(lines) {
+		if path, v, _ := strings.Cut(strings.TrimSpace(line), " = "); path != "" {
+			require.NoError(t, n.Put(schema.Item{Path: path, Value: v}))
+		}
+	}
+	return n
+}
+
+// TestNodes: the first rule that matches counts, then the defaults, and the rules themselves are closed.
+func TestNodes(t *testing.T) {
+	n := tree(t, rules)
+	r := Of(n)
+	for _, c := range []struct {
+		user, path string
+		op         Op
+		want       bool
+	}{
+		{"bob", "/nacm/groups/group[name='desk']", Delete, true}, {"bob", "/limits/max-wait", Update, true},
+		{"ann", "/exchanges/exchange[number='1']/zone", Update, true}, {"ann", "/exchanges/exchange[number='1']/zone", Read, true},
+		{"ann", "/exchanges/exchange[number='1']/zone", Delete, false}, {"ann", "/exchanges/exchange[number='2']/zone", Update, false},
+		{"ann", "/exchanges/exchange[number='2']/zone", Read, false}, {"ann", "/exchanges/exchange[number='2']", Read, true},
+		{"ann", "/limits/max-wait", Read, false}, {"eve", "/limits/max-wait", Read, true}, {"eve", "/limits/max-wait", Update, false},
+		{"eve", "/nacm/groups/group[name='desk']", Read, false}, {"ann", "/nacm", Read, false},
+	} {
+		x, err := n.Find(c.path)
+		require.NoError(t, err)
+		require.Equal(t, c.want, r.Node(c.user, x, c.op), c)
+	}
+	require.True(t, r.Call("eve", "ietf-netconf", "commit"))
+	require.False(t, r.Call("ann", "ietf-netconf", "commit"))
+	require.True(t, r.Call("ann", "ietf-netconf", "close-session"))
+	require.True(t, r.Call("ann", "ietf-netconf", "kill-session"))
+	require.False(t, r.Call("eve", "ietf-netconf", "kill-session"))
+	require.False(t, r.Hear("eve", "ietf-netconf-notifications", "netconf-config-change"))
+	require.True(t, r.Hear("bob", "ietf-netconf-notifications", "netconf-config-change"))
+
+	next := n.Clone()
+	require.NoError(t, next.Put(schema.Item{Path: "/exchanges/exchange[number='1']/zone", Value: "c"}))
+	require.NoError(t, next.Put(schema.Item{Path: "/exchanges/exchange[number='2']/zone", Value: "c"}))
+	faults := r.Changes("ann", n, next, schema.Diff(n, next))
+	require.Len(t, faults, 1)
+	require.Equal(t, "/exchanges/exchange[number='2']/zone", faults[0].Path)
+	r.Shown("ann", next)
+	require.Nil(t, next.Get("limits"))
+	require.Nil(t, next.Get("nacm"))
+	require.Equal(t, []schema.Item{{Path: "/exchanges/exchange[number='1']/number", Value: "1"}, {Path: "/exchanges/exchange[number='1']/zone", Value: "c"},
+		{Path: "/exchanges/exchange[number='2']/number", Value: "2"}}, next.Items())
+}
+
+// TestOff: nothing set, or switched off, is no control; the defaults alone are one.
+func TestOff(t *testing.T) {
+	for lines, want := range map[string]bool{"": true, "/nacm/enable-nacm = false": true, "/nacm/enable-nacm = true": false,
+		"/nacm/write-default = permit": true} {
+		n := tree(t, lines+"\n/limits/max-wait = 5")
+		require.Equal(t, want, Of(n).Node("eve", n.Get("limits"), Update), lines)
+	}
+}
+
+// TestCheck: rules about nothing are refused; the order of rules survives a difference.
+func TestCheck(t *testing.T) {
+	n := tree(t, rules)
+	require.Empty(t, Check(nil, n))
+	bad := n.Clone()
+	require.NoError(t, bad.Put(schema.Item{Path: "/nacm/rule-list[name='rest']/rule[name='zone']/path", Value: "/exchanges/none"}))
+	require.ErrorContains(t, Check(nil, bad)[0], "names no node")
+
+	first := tree(t, "/nacm/rule-list[name='a']/rule[name='x']/action = permit\n/nacm/rule-list[name='a']/rule[name='y']/action = deny")
+	second := tree(t, "/nacm/rule-list[name='a']/rule[name='y']/action = deny\n/nacm/rule-list[name='a']/rule[name='x']/action = permit")
+	changes := schema.Diff(first, second)
+	require.NotEmpty(t, changes)
+	was := first.Items()
+	require.NoError(t, first.Patch(changes))
+	require.Equal(t, second.Items(), first.Items())
+	require.NoError(t, second.Patch(schema.Diff(second, tree(t, "/nacm/rule-list[name='a']/rule[name='x']/action = permit\n/nacm/rule-list[name='a']/rule[name='y']/action = deny"))))
+	require.Equal(t, was, second.Items())
+}
--- a/internal/netconf/notify.go
+++ b/internal/netconf/notify.go
@@ -29,6 +29,7 @@
 // event is a notification with its time.
 type event struct {
 	at   time.Time
+	name string // empty for those of the subscription itself
 	body []byte
 }
 
@@ -45,7 +46,7 @@
 func (s *stream) put(at time.Time, body []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := event{at, body}
+	e := event{at, "netconf-config-change", body}
 	if s.kept = append(s.kept, e); len(s.kept) > mostEvents {
 		s.kept = slices.Clone(s.kept[len(s.kept)-mostEvents:])
 	}
@@ -133,6 +134,9 @@
 		if !until.IsZero() && e.at.After(until) {
 			return false
 		}
+		if r := x.rules(); r != nil && e.name != "" && !r.Hear(x.who.User, "ietf-netconf-notifications", e.name) {
+			return true
+		}
 		if err := x.send(notification(e)); err != nil {
 			x.conn.Close()
 			return false
@@ -144,7 +148,7 @@
 			break
 		}
 	}
-	if replay && !send(event{x.server.Now(), []byte(`<replayComplete xmlns="urn:ietf:params:xml:ns:netmod:notification"/>`)}) {
+	if replay && !send(event{x.server.Now(), "", []byte(`<replayComplete xmlns="urn:ietf:params:xml:ns:netmod:notification"/>`)}) {
 		return
 	}
 	var end <-chan time.Time
@@ -161,7 +165,7 @@
 			}
 		case <-end:
 			x.server.stream.leave(x)
-			_ = x.send(notification(event{until, []byte(`<notificationComplete xmlns="urn:ietf:params:xml:ns:netmod:notification"/>`)}))
+			_ = x.send(notification(event{until, "", []byte(`<notificationComplete xmlns="urn:ietf:params:xml:ns:netmod:notification"/>`)}))
 			return
 		}
 	}
--- a/internal/netconf/ops.go
+++ b/internal/netconf/ops.go
@@ -91,7 +91,11 @@
 	if err != nil {
 		return nil, err
 	}
-	tree, err = filtered(m.shown(tree), only(op, "filter"))
+	tree = m.shown(tree)
+	if r := x.rules(); r != nil {
+		r.Shown(x.who.User, tree)
+	}
+	tree, err = filtered(tree, only(op, "filter"))
 	if err != nil {
 		return nil, err
 	}
@@ -203,7 +207,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return x.read(t)
+	tree, err := x.read(t)
+	if r := x.rules(); r != nil && err == nil {
+		r.Shown(x.who.User, tree) // what may not be read is not copied (RFC 8341, 3.2.4)
+	}
+	return tree, err
 }
 
 func (x *session) copyConfig(op *etree.Element) ([]byte, error) {
--- a/internal/netconf/session.go
+++ b/internal/netconf/session.go
@@ -13,6 +13,7 @@
 	"github.com/beevik/etree"
 
 	"brookmux/internal/datastore"
+	"brookmux/internal/nacm"
 	"brookmux/internal/schema"
 	"brookmux/internal/transact"
 )
@@ -43,6 +44,9 @@
 	Owner *transact.Owner
 	Model *schema.Model
 	State func(tree *schema.Node) // adds what is seen to a copy of running; nil for nothing
+	// Rules are those that hold for a user now (RFC 8341); nil: everybody may do everything. Who may change what is for
+	// the Owner's store.
+	Rules func(user string) *nacm.Rules
 	Now   func() time.Time
 	Log   *slog.Logger
 }
@@ -245,5 +249,20 @@
 	if f == nil {
 		return nil, protocol("operation-not-supported", op.Tag+" is not known here", [2]string{"bad-element", op.Tag})
 	}
+	if r := x.rules(); r != nil && !r.Call(x.who.User, modules[op.NamespaceURI()], op.Tag) {
+		return nil, protocol("access-denied", x.who.User+" may not call "+op.Tag)
+	}
 	return f(x, op)
 }
+
+// modules are those that the operations are of.
+var modules = map[string]string{base: "ietf-netconf", monitoring: "ietf-netconf-monitoring", events: "notifications",
+	history: "brookmux-transactions"}
+
+// rules are those that hold for this session's user, or nil.
+func (x *session) rules() *nacm.Rules {
+	if x.server.Rules == nil {
+		return nil
+	}
+	return x.server.Rules(x.who.User)
+}
--- a/internal/schema/flat.go
+++ b/internal/schema/flat.go
@@ -99,7 +99,7 @@
 		return
 	}
 	up.Remove(n)
-	if up.Len() == 0 && up.Def.Kind == Container && !up.Def.Presence {
+	if up.Len() == 0 && (up.Def.Kind == Container && !up.Def.Presence || up.Def.Kind == List && len(up.Def.Keys) > 0) {
 		up.Drop()
 	}
 }
@@ -126,13 +126,14 @@
 			o, v := a.Value, b.Value
 			come = append(come, Change{b.Path(), &o, &v})
 		}
+		moved := moved(a, b)
 		for _, c := range a.Children() {
-			if b.kids[c.id] == nil {
+			if b.kids[c.id] == nil || moved[c.id] {
 				whole(c, func(i Item) { gone = append(gone, Change{Path: i.Path, Old: &i.Value}) })
 			}
 		}
 		for _, c := range b.Children() {
-			if o := a.kids[c.id]; o != nil {
+			if o := a.kids[c.id]; o != nil && !moved[c.id] {
 				walk(o, c)
 			} else {
 				whole(c, func(i Item) { come = append(come, Change{Path: i.Path, New: &i.Value}) })
@@ -146,6 +147,41 @@
 	return append(gone, come...)
 }
 
+// moved names the entries of lists ordered by users that stand elsewhere now: all after the first that does, which
+// go and come again, since what comes stands last.
+func moved(a, b *Node) map[string]bool {
+	var out map[string]bool
+	for _, d := range b.Def.Children {
+		if !d.Ordered {
+			continue
+		}
+		order := func(n, other *Node) (ids []string) {
+			for _, c := range n.Children() {
+				if c.Def == d && other.kids[c.id] != nil {
+					ids = append(ids, c.id)
+				}
+			}
+			return ids
+		}
+		was, is := order(a, b), order(b, a)
+		same := 0
+		for _, c := range b.Children() { // up to the first that is new or stands elsewhere
+			if c.Def == d && (same >= len(was) || was[same] != c.id) {
+				break
+			} else if c.Def == d {
+				same++
+			}
+		}
+		for _, id := range is[same:] {
+			if out == nil {
+				out = map[string]bool{}
+			}
+			out[id] = true
+		}
+	}
+	return out
+}
+
 // Patch applies the changes of a Diff to a tree, in their order.
 func (n *Node) Patch(changes []Change) error {
 	for _, c := range changes {
--- a/internal/schema/tree.go
+++ b/internal/schema/tree.go
@@ -18,6 +18,8 @@
 	id     string
 	kids   map[string]*Node
 	sorted []*Node // nil when a child came or went
+	turn   int     // of an entry in a list ordered by users: when it came
+	turns  int     // given to the children so far
 	place  int     // among the sorted children of the parent, as of the last sorting
 }
 
@@ -90,6 +92,9 @@
 			if a.Def != b.Def {
 				return cmp.Or(cmp.Compare(a.Def.order, b.Def.order), cmp.Compare(a.id, b.id))
 			}
+			if a.Def.Ordered {
+				return cmp.Compare(a.turn, b.turn)
+			}
 			return slices.CompareFunc(a.Keys(), b.Keys(), compareKeys)
 		})
 		for i, c := range n.sorted {
@@ -132,6 +137,13 @@
 	if n.kids == nil {
 		n.kids = map[string]*Node{}
 	}
+	for _, x := range n.kids { // another case of the same choice goes (RFC 7950, 7.9)
+		if d.choice != "" && x.Def.choice == d.choice && x.Def.branch != d.branch {
+			n.Remove(x)
+		}
+	}
+	n.turns++
+	c.turn = n.turns
 	n.kids[id], n.sorted = c, nil
 	if d.Kind == List {
 		if len(keys) != len(d.Keys) {
@@ -168,7 +180,7 @@
 
 // Clone copies a node with all under it. The copy has no parent.
 func (n *Node) Clone() *Node {
-	c := &Node{Def: n.Def, Value: n.Value, id: n.id}
+	c := &Node{Def: n.Def, Value: n.Value, id: n.id, turn: n.turn, turns: n.turns}
 	if len(n.kids) > 0 {
 		c.kids = make(map[string]*Node, len(n.kids))
 		for id, k := range n.kids {
@@ -183,7 +195,8 @@
 // Adopt puts a copy of a node with all under it in, in place of one with the same keys.
 func (n *Node) Adopt(x *Node) *Node {
 	c := x.Clone()
-	c.Parent = n
+	n.turns++
+	c.Parent, c.turn = n, n.turns
 	if n.kids == nil {
 		n.kids = map[string]*Node{}
 	}
