--- a/internal/netconf/netconf_test.go
+++ b/internal/netconf/netconf_test.go
@@ -252,6 +252,11 @@
 	<-other.over
 	last := l.dial("1.1")
 	require.Equal(t, "<ok/>", last.ask("<lock><target><running/></target></lock>"))
+	id := regexp.MustCompile(`yang-library:1.1\?revision=2019-01-04&amp;content-id=([0-9a-f]{32})<`).FindStringSubmatch(last.hello)
+	require.NotNil(t, id)
+	got := last.ask(`<get><filter><yang-library xmlns="urn:ietf:params:xml:ns:yang:ietf-yang-library"/></filter></get>`)
+	require.Contains(t, got, "<content-id>"+id[1]+"</content-id>")
+	require.Contains(t, got, "<module><name>brookmux-limits</name><namespace>urn:brookmux:limits</namespace><revision>2026-12-01</revision></module>")
 	require.Equal(t, "<ok/>", last.ask("<copy-config><target><startup/></target><source><running/></source></copy-config>"))
 	require.Contains(t, last.ask("<get-config><source><startup/></source></get-config>"), "<max-wait>1<")
 	require.Equal(t, "<ok/>", last.ask("<delete-config><target><startup/></target></delete-config>"))
--- a/internal/netconf/ops.go
+++ b/internal/netconf/ops.go
@@ -123,6 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
+	library(tree, x.server.Model)
 	x.server.Owner.Look(func(s *datastore.Store) { transactions(tree, s.History()) })
 	if x.server.State != nil {
 		x.server.State(tree)
@@ -367,6 +368,19 @@
 	})
 }
 
+// library adds the modules to a tree (RFC 8525).
+func library(tree *schema.Node, m *schema.Model) {
+	const at = "/yang-library/"
+	items := []schema.Item{{Path: at + "content-id", Value: m.ID}, {Path: at + "schema[name='all']/module-set[.='all']", Value: "all"}}
+	for _, x := range m.Modules {
+		module := at + "module-set[name='all']/module[name=" + schema.Quote(x.Name) + "]/"
+		items = append(items, schema.Item{Path: module + "revision", Value: x.Revision}, schema.Item{Path: module + "namespace", Value: x.Namespace})
+	}
+	for _, i := range items {
+		_ = tree.Put(i) // the model has all of them, see the tests
+	}
+}
+
 // transactions adds the history to a tree.
 func transactions(tree *schema.Node, records []datastore.Record) {
 	for _, r := range records {
--- a/internal/netconf/session.go
+++ b/internal/netconf/session.go
@@ -170,6 +170,7 @@
 	for _, c := range capabilities {
 		element(&b, "capability", c)
 	}
+	element(&b, "capability", "urn:ietf:params:netconf:capability:yang-library:1.1?revision=2019-01-04&content-id="+x.server.Model.ID)
 	for _, m := range x.server.Model.Modules {
 		element(&b, "capability", m.Namespace+"?module="+m.Name+"&revision="+m.Revision)
 	}
--- a/internal/schema/def.go
+++ b/internal/schema/def.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -16,6 +17,7 @@
 
 	"github.com/antchfx/xpath"
 	"github.com/openconfig/goyang/pkg/yang"
+	"lukechampine.com/blake3"
 )
 
 // Kind is what a node of a model is.
@@ -69,6 +71,7 @@
 type Model struct {
 	Root    *Def
 	Modules []Module // by name
+	ID      string   // another one when any module is another
 }
 
 // Load reads all modules in a file system. What this package can't enforce (anydata, leaf-lists ordered by users,
@@ -105,6 +108,11 @@
 			return nil, err
 		}
 	}
+	all := blake3.New(16, nil)
+	for _, x := range m.Modules {
+		_, _ = all.Write([]byte(x.Name + "\x00" + x.Text + "\x00")) // never fails, see hash.Hash
+	}
+	m.ID = hex.EncodeToString(all.Sum(nil))
 	return m, m.Root.finish()
 }
 
