--- a/cmd/brookmux/operate_test.go
+++ b/cmd/brookmux/operate_test.go
@@ -185,6 +185,57 @@
 	}), found)
 }
 
+// TestChangesMeet: a commit stands beside the platform's own changes. A new platform file whose classes the commit does
+// not fit is refused; one that comes with a commit, and a commit while the program drains, leave all of it or nothing.
+func TestChangesMeet(t *testing.T) {
+	t.Parallel()
+	core, err := loopback.NewCore(100, time.Second)
+	require.NoError(t, err)
+	t.Cleanup(func() { core.Close() })
+	s := newSite(t, []*loopback.Core{core})
+	s.start()
+	d := s.operator()
+	rewrite := func(old, new string) {
+		text, err := os.ReadFile(s.env["GW_CONFIG"])
+		require.NoError(t, err)
+		require.Contains(t, string(text), old)
+		require.NoError(t, os.WriteFile(s.env["GW_CONFIG"], []byte(strings.ReplaceAll(string(text), old, new)), 0o600))
+		s.process.Signal(syscall.SIGHUP)
+	}
+	both := func(wait int) string {
+		return fmt.Sprintf(`<config><classes xmlns="urn:brookmux:classes"><class><name>page</name><aim>%d</aim><deadline>9000</deadline><worth>1</worth></class></classes>`+
+			`<limits xmlns="urn:brookmux:limits"><max-wait>%d</max-wait></limits></config>`, wait, wait)
+	}
+	s.done(d.EditConfig("running", both(1000)))
+	rewrite(`"name":"page"`, `"name":"other"`)
+	s.out.await(t, `configuration not replaced.*the platform has no class of this name`)
+	rewrite(`"name":"other"`, `"name":"page"`)
+	s.out.await(t, `configuration replaced`)
+	rewrite(`"maxRetryAfterMs":2000`, `"maxRetryAfterMs":1500`)
+	s.done(d.EditConfig("running", both(1100)))
+	s.out.await(t, `(?s)configuration replaced.*configuration replaced`)
+
+	s.process.Signal(syscall.SIGTERM)
+	s.out.await(t, `to=draining`)
+	acked := 1100
+	if r, err := d.EditConfig("running", both(1200)); err == nil && r.Failed == nil {
+		acked = 1200
+	}
+	_ = d.Close() // it may have ended with the program
+	require.NoError(t, s.process.Wait())
+	s.start()
+	d = s.operator()
+	got := s.done(d.GetConfig("running"))
+	wait := regexp.MustCompile(`<max-wait>(\d+)<`).FindStringSubmatch(got)
+	require.NotNil(t, wait)
+	require.Contains(t, got, "<aim>"+wait[1]+"</aim>")
+	n, err := strconv.Atoi(wait[1])
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, n, acked, "what was acknowledged is there")
+	require.NoError(t, d.Close())
+	s.stop()
+}
+
 // TestStormEvents: each change of a scope's state is told once.
 func TestStormEvents(t *testing.T) {
 	all, page := storm.Scope{Kind: "all"}, storm.Scope{Kind: "class", Name: "page"}
