The core's settings are put in force anew only when classes or limits were changed

Cause: each commit, also one of exchanges only, configured the core again between two events. Change: the overlay compares what stands under classes and limits with what is in force.

--- a/cmd/brookmux/operate.go
+++ b/cmd/brookmux/operate.go
@@ -303,6 +303,9 @@
 func (o *overlay) set(tree *schema.Node) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.tree != nil && same(o.tree, tree, "classes", "limits") {
+		return nil // the core's settings are not put in force anew for a change elsewhere
+	}
 	if err := o.force(o.settings, o.bytes, o.callers, tree); err != nil {
 		return err
 	}
@@ -310,6 +313,17 @@
 	return nil
 }
 
+// same tells whether two trees agree in what stands under some nodes at the top.
+func same(a, b *schema.Node, tops ...string) bool {
+	for _, name := range tops {
+		x, y := a.Get(name), b.Get(name)
+		if (x == nil) != (y == nil) || x != nil && len(schema.Diff(x, y)) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // force puts both in force. The lock is held.
 func (o *overlay) force(s settings.Settings, bytes int64, callers int, tree *schema.Node) (err error) {
 	if tree != nil {
--- a/cmd/brookmux/operate_test.go
+++ b/cmd/brookmux/operate_test.go
@@ -372,6 +372,24 @@
 	s.stop()
 }
 
+// TestSame: only what stands under the nodes named counts.
+func TestSame(t *testing.T) {
+	m, err := schema.Load(yang.Files)
+	require.NoError(t, err)
+	build := func(items ...schema.Item) *schema.Node {
+		tree := m.NewTree()
+		for _, i := range items {
+			require.NoError(t, tree.Put(i))
+		}
+		return schema.WithDefaults(tree)
+	}
+	wait, zone := schema.Item{Path: "/limits/max-wait", Value: "1"}, schema.Item{Path: "/exchanges/exchange[number='1']/zone", Value: "a"}
+	require.True(t, same(build(), build(), "classes", "limits"))
+	require.True(t, same(build(wait), build(wait, zone), "classes", "limits"))
+	require.False(t, same(build(wait), build(), "classes", "limits"))
+	require.False(t, same(build(), build(wait), "classes", "limits"))
+}
+
 // TestOperateFile: what can't be served in the file is named, and the program does not start.
 func TestOperateFile(t *testing.T) {
 	_, host := keyFile(t)
