The command line over gNMI too; history over gNMI; slow subscribers are let go

Cause: config spoke NETCONF only, the history was told over NETCONF only, a subscriber that never reads had no test, and check named the line of a fault in the TOML files and not in the platform's JSON.

The history is part of what gNMI reads.

--- a/cmd/brookmux/cli.go
+++ b/cmd/brookmux/cli.go
@@ -18,6 +18,8 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/beevik/etree"
+	"github.com/openconfig/gnmi/proto/gnmi"
+	"github.com/openconfig/gnmi/proto/gnmi_ext"
 	"github.com/willabides/kongplete"
 	"golang.org/x/crypto/ssh"
 	"golang.org/x/crypto/ssh/knownhosts"
@@ -34,7 +36,7 @@
 type commands struct {
 	Serve   serveCommand   `cmd:"" default:"1" help:"Serve calls: what brookmux does without a command. Files are named by environment variables, see the README."`
 	Check   checkCommand   `cmd:"" help:"Read all files as serve would, and name each fault; the exit code tells whether there is any."`
-	Config  configCommands `cmd:"" help:"Read and change the configuration of a controller that serves, over NETCONF."`
+	Config  configCommands `cmd:"" help:"Read and change the configuration of a controller that serves, over NETCONF or gNMI."`
 	Watch   watchCommand   `cmd:"" help:"Print each change of the configuration, of exchanges and of storms as it is made, until interrupted."`
 	Version versionCommand `cmd:"" help:"Print the version, the Go release and the models."`
 
@@ -159,14 +161,22 @@
 
 // target is the controller that a command speaks with.
 type target struct {
-	Address string `help:"Where its NETCONF listens." default:"127.0.0.1:830" env:"BROOKMUX_ADDRESS"`
+	Via     string `help:"How: netconf or gnmi." enum:"netconf,gnmi" default:"netconf" env:"BROOKMUX_VIA"`
+	Address string `help:"Where its NETCONF or gNMI listens." default:"127.0.0.1:830" env:"BROOKMUX_ADDRESS"`
 	User    string `help:"Who logs in; the own name if not given." env:"BROOKMUX_USER"`
-	Key     string `help:"File with the private key." type:"existingfile" required:"" env:"BROOKMUX_KEY"`
-	Hosts   string `help:"File with the keys that controllers show themselves by, as known_hosts." type:"existingfile" required:"" env:"BROOKMUX_KNOWN_HOSTS"`
+	Key     string `help:"File with the private key." type:"existingfile" env:"BROOKMUX_KEY"`
+	Hosts   string `help:"NETCONF: file with the keys that controllers show themselves by, as known_hosts." type:"existingfile" env:"BROOKMUX_KNOWN_HOSTS"`
+	gnmiTarget
 }
 
 // dial opens a session.
 func (t target) dial() (*netconf.Client, error) {
+	if t.Via == "gnmi" {
+		return nil, errNETCONF
+	}
+	if t.Key == "" || t.Hosts == "" {
+		return nil, errors.New("--key and --hosts are needed")
+	}
 	text, err := os.ReadFile(t.Key)
 	if err != nil {
 		return nil, err
@@ -218,7 +228,7 @@
 type configCommands struct {
 	target
 	Get      getCommand      `cmd:"" help:"Print a configuration, a line a leaf: path = value."`
-	Set      setCommand      `cmd:"" help:"Change the candidate: paths with values, as /limits/max-wait=5."`
+	Set      setCommand      `cmd:"" help:"Change the candidate, or with --via gnmi running: paths with values, as /limits/max-wait=5."`
 	Diff     diffCommand     `cmd:"" help:"Print how the candidate differs from running."`
 	Commit   commitCommand   `cmd:"" help:"Make running what the candidate is, on trial with --trial."`
 	Confirm  confirmCommand  `cmd:"" help:"Keep what was committed on trial."`
@@ -235,6 +245,9 @@
 
 // Run prints a datastore.
 func (g getCommand) Run(t *configCommands, out io.Writer) error {
+	if t.Via == "gnmi" {
+		return g.gnmi(t, out)
+	}
 	return t.with(func(c *netconf.Client) error {
 		tree, err := c.Config(datastore.Target(g.Datastore), g.Datastore == "state")
 		if err != nil {
@@ -255,6 +268,9 @@
 type setCommand struct {
 	Changes []string `arg:"" optional:"" help:"Paths with values: PATH=VALUE."`
 	Remove  []string `help:"Paths to remove, one each time." sep:"none"`
+
+	Trial   time.Duration `help:"gNMI: take it back after this time unless it is confirmed."`
+	Persist string        `help:"gNMI: the word by which a trial is confirmed or cancelled." default:"brookmux"`
 }
 
 // Run changes the candidate.
@@ -265,6 +281,12 @@
 		path, value, _ := strings.Cut(text[end:], "=")
 		set = append(set, schema.Item{Path: text[:end] + path, Value: value})
 	}
+	if t.Via == "gnmi" {
+		return s.gnmi(t, set)
+	}
+	if s.Trial != 0 {
+		return errors.New("--trial is for the commit, or for --via gnmi")
+	}
 	return t.with(func(c *netconf.Client) error { return c.Edit(set, s.Remove) })
 }
 
@@ -316,6 +338,9 @@
 
 // Run confirms.
 func (x confirmCommand) Run(t *configCommands) error {
+	if t.Via == "gnmi" {
+		return t.set(&gnmi.SetRequest{Extension: extension(&gnmi_ext.Commit{Id: x.Persist, Action: &gnmi_ext.Commit_Confirm{Confirm: &gnmi_ext.CommitConfirm{}}})})
+	}
 	return t.do("<commit><persist-id>" + netconf.Escape(x.Persist) + "</persist-id></commit>")
 }
 
@@ -325,6 +350,9 @@
 
 // Run cancels.
 func (x cancelCommand) Run(t *configCommands) error {
+	if t.Via == "gnmi" {
+		return t.set(&gnmi.SetRequest{Extension: extension(&gnmi_ext.Commit{Id: x.Persist, Action: &gnmi_ext.Commit_Cancel{Cancel: &gnmi_ext.CommitCancel{}}})})
+	}
 	return t.do("<cancel-commit><persist-id>" + netconf.Escape(x.Persist) + "</persist-id></cancel-commit>")
 }
 
--- a/cmd/brookmux/cli_test.go
+++ b/cmd/brookmux/cli_test.go
@@ -28,13 +28,14 @@
 	s := newSite(t, nil)
 	code, out, _ := cli(func(k string) string { return s.env[k] }, "check")
 	require.Zero(t, code, out)
-	for name, text := range map[string]string{"GW_CONFIG": "{", "BROOKMUX_STORM": "enabled = true\n\nspeed = 1\n", "BROOKMUX_M3UA": "speed = 1\n"} {
+	for name, text := range map[string]string{"GW_CONFIG": "{\n\"name\": \"n0\",\n\"listen\" 5}\n", "BROOKMUX_STORM": "enabled = true\n\nspeed = 1\n", "BROOKMUX_M3UA": "speed = 1\n"} {
 		require.NoError(t, os.WriteFile(s.env[name], []byte(text), 0o600))
 	}
 	code, out, errs := cli(func(k string) string { return s.env[k] }, "check")
 	require.Equal(t, 1, code)
 	require.Contains(t, errs, "3 files can't be served")
 	require.Contains(t, out, s.env["BROOKMUX_STORM"])
+	require.Contains(t, out, s.env["GW_CONFIG"]+": line 3: ")
 	require.Contains(t, out, "3| speed = 1", "the line")
 	require.Contains(t, out, s.env["BROOKMUX_NETCONF"]+": ok")
 }
@@ -120,6 +121,29 @@
 	require.Contains(t, ok("get", "--datastore", "state", "/exchanges"), "state/origin = learned")
 	_, errs = do("rollback", "999")
 	require.Contains(t, errs, "revision 999 is not kept")
+	g := func(args ...string) (string, string) {
+		_, out, errs := cli(func(string) string { return "" }, append(append([]string{"config"}, args...), "--via", "gnmi", "--address",
+			s.out.await(t, `msg="gnmi listens".* address=(\S+)`))...)
+		return out, errs
+	}
+	for _, args := range [][]string{{"set", "/limits/max-wait=7", x + "zone=east", x + "address=10.0.0.4:5060", "--trial", "5m"}, {"confirm"},
+		{"set", "/limits/max-wait=8", "--remove", "/exchanges", "--trial", "5m"}, {"cancel"}} {
+		_, errs = g(args...)
+		require.Empty(t, errs, args)
+	}
+	out, errs := g("get", "/limits")
+	require.Empty(t, errs)
+	require.Equal(t, "/limits/max-wait = 7\n", out)
+	out, _ = g("get", "--datastore", "state", "/exchanges")
+	require.Contains(t, out, x+"zone = east\n")
+	_, errs = g("diff")
+	require.Contains(t, errs, "use --via netconf")
+	_, errs = g("set", "/limits/max-wait=soon")
+	require.Contains(t, errs, "InvalidArgument")
+	_, _, errs = cli(func(string) string { return "" }, "config", "get", "--via", "gnmi", "--address", "10.0.0.1:1")
+	require.Contains(t, errs, "--cert is needed")
+	_, _, errs = cli(func(string) string { return "" }, "config", "get")
+	require.Contains(t, errs, "--key and --hosts are needed")
 	require.NoError(t, os.WriteFile(hosts, nil, 0o600))
 	_, errs = do("get")
 	require.Contains(t, errs, "key is unknown", fmt.Sprint("a host that is not known"))
--- a/cmd/brookmux/config.go
+++ b/cmd/brookmux/config.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -54,6 +56,15 @@
 	return c, err
 }
 
+// faultLine is the line at which a text stops being JSON, or 0.
+func faultLine(text []byte) int {
+	var bad *json.SyntaxError
+	if !errors.As(json.Unmarshal(text, new(any)), &bad) {
+		return 0
+	}
+	return 1 + bytes.Count(text[:min(int(bad.Offset), len(text))], []byte("\n"))
+}
+
 // loadPlatform reads the platform's file and checks it.
 func loadPlatform(path, listen string) (platform, error) {
 	text, err := os.ReadFile(path)
@@ -62,6 +73,9 @@
 	}
 	v, err := fastjson.ParseBytes(text)
 	if err != nil {
+		if n := faultLine(text); n > 0 {
+			err = fmt.Errorf("line %d: %w", n, err)
+		}
 		return platform{}, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	limits := v.Get("limits")
--- a/internal/datastore/commit.go
+++ b/internal/datastore/commit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"brookmux/internal/schema"
@@ -376,5 +377,22 @@
 // History returns the records that are kept, the oldest first.
 func (s *Store) History() []Record { return slices.Clone(s.history) }
 
+// Tell adds the history to a tree, as the module brookmux-transactions has it. What a comment holds that a tree can't is
+// left out.
+func (s *Store) Tell(tree *schema.Node) {
+	for _, r := range s.history {
+		at := fmt.Sprintf("/transactions/transaction[revision='%d']/", r.N)
+		for leaf, v := range map[string]string{"kind": string(r.Kind), "user": r.User, "via": r.Via, "comment": r.Comment,
+			"at": r.At.UTC().Format(time.RFC3339Nano), "changes": strconv.Itoa(len(r.Changes))} {
+			if v != "" {
+				_ = tree.Put(schema.Item{Path: at + leaf, Value: v}) // see above
+			}
+		}
+		if r.Of > 0 {
+			_ = tree.Put(schema.Item{Path: at + "of", Value: strconv.FormatUint(r.Of, 10)}) // a number is one that it can hold
+		}
+	}
+}
+
 // Last is the number of the last transaction that was made.
 func (s *Store) Last() uint64 { return s.last }
--- a/internal/mgmt/owned.go
+++ b/internal/mgmt/owned.go
@@ -80,6 +80,7 @@
 	o.owner.Look(func(s *datastore.Store) {
 		tree, _ = s.Get(datastore.Running) // it is always there
 		last = s.Last()
+		s.Tell(tree)
 	})
 	o.state(tree)
 	out := map[string]string{}
--- a/internal/mgmt/owned_test.go
+++ b/internal/mgmt/owned_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
 	"testing"
 	"time"
 
@@ -90,6 +91,7 @@
 	require.Equal(t, `"7.5"`, b.get("/exchanges/exchange[number=3]/planned-load"))
 	require.Equal(t, `{"a":1,"b":3,"reserve":0,"size":9}`, b.get("/circuit-groups/group[a=1][b=3]"))
 	require.Equal(t, `"learned"`, b.get("/exchanges/exchange[number=2]/state/origin"))
+	require.Equal(t, `"gnmi"`, b.get("/transactions/transaction[revision=1]/via"))
 	require.Equal(t, `"serving"`, b.get("/border-control/controllers/controller[name=n0]/phase"))
 	for _, c := range []struct {
 		r    *gnmi.SetRequest
@@ -167,6 +169,30 @@
 	require.Equal(t, codes.OK, b.set(r))
 }
 
+// TestOwnedSlow: a subscriber that does not read is let go with an error, and holds up nobody.
+func TestOwnedSlow(t *testing.T) {
+	b := newBench(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s := &subscriber{ctx: ctx, asks: make(chan *gnmi.SubscribeRequest, 1), told: make(chan *gnmi.SubscribeResponse)}
+	s.asks <- &gnmi.SubscribeRequest{Request: &gnmi.SubscribeRequest_Subscribe{Subscribe: &gnmi.SubscriptionList{
+		Subscription: []*gnmi.Subscription{{Path: at("/limits")}}, UpdatesOnly: true, Encoding: gnmi.Encoding_JSON_IETF}}}
+	ended := make(chan error, 1)
+	go func() { ended <- b.Subscribe(s) }()
+	require.True(t, (<-s.told).GetSyncResponse())
+	for i := range 2*mostBehind + 2 {
+		require.Equal(t, codes.OK, b.set(&gnmi.SetRequest{Update: []*gnmi.Update{json("/limits/max-wait", strconv.Itoa(i))}}))
+	}
+	require.Empty(t, b.owned.watchers, "nothing is kept for it any more")
+	for err := error(nil); err == nil; { // it reads at last
+		select {
+		case <-s.told:
+		case err = <-ended:
+			require.Equal(t, codes.ResourceExhausted, status.Code(err))
+		}
+	}
+}
+
 // TestOwnedRules: what a rule hides is not read.
 func TestOwnedRules(t *testing.T) {
 	b := newBench(t)
--- a/internal/netconf/ops.go
+++ b/internal/netconf/ops.go
@@ -124,7 +124,7 @@
 		return nil, err
 	}
 	library(tree, x.server.Model)
-	x.server.Owner.Look(func(s *datastore.Store) { transactions(tree, s.History()) })
+	x.server.Owner.Look(func(s *datastore.Store) { s.Tell(tree) })
 	if x.server.State != nil {
 		x.server.State(tree)
 	}
@@ -381,22 +381,6 @@
 	}
 }
 
-// transactions adds the history to a tree.
-func transactions(tree *schema.Node, records []datastore.Record) {
-	for _, r := range records {
-		at := fmt.Sprintf("/transactions/transaction[revision='%d']/", r.N)
-		for leaf, v := range map[string]string{"kind": string(r.Kind), "user": r.User, "via": r.Via, "comment": r.Comment,
-			"at": r.At.UTC().Format(time.RFC3339Nano), "changes": strconv.Itoa(len(r.Changes))} {
-			if v != "" {
-				_ = tree.Put(schema.Item{Path: at + leaf, Value: v}) // what a comment can't hold is left out
-			}
-		}
-		if r.Of > 0 {
-			_ = tree.Put(schema.Item{Path: at + "of", Value: strconv.FormatUint(r.Of, 10)}) // the model has it
-		}
-	}
-}
-
 // getSchema returns a module's text (RFC 6022, 3.1).
 func (x *session) getSchema(op *etree.Element) ([]byte, error) {
 	if err := params(op, "identifier", "version", "format"); err != nil {
