An exchange that the list has dropped gets nothing by what operators have set of it

The guard against work for drained nodes knew of drains only.

Change: intent.Placer remembers what the list has had; what it has no more is gone by its word until it is listed again, and the guard refuses changes that would send it work.

--- a/cmd/brookmux/cli_test.go
+++ b/cmd/brookmux/cli_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"golang.org/x/crypto/ssh"
 	"golang.org/x/crypto/ssh/knownhosts"
 
 	"brookmux/internal/standin/loopback"
@@ -69,12 +68,8 @@
 	s := newSite(t, []*loopback.Core{core})
 	s.start()
 	address := s.out.await(t, `msg="netconf listens".* address=(\S+)`)
-	text, err := os.ReadFile(s.host)
-	require.NoError(t, err)
-	host, err := ssh.ParsePrivateKey(text)
-	require.NoError(t, err)
 	hosts := filepath.Join(t.TempDir(), "known_hosts")
-	require.NoError(t, os.WriteFile(hosts, []byte(knownhosts.Line([]string{address}, host.PublicKey())+"\n"), 0o600))
+	require.NoError(t, os.WriteFile(hosts, []byte(knownhosts.Line([]string{address}, s.signer(s.host).PublicKey())+"\n"), 0o600))
 	do := func(args ...string) (string, string) {
 		args = append([]string{"config"}, args...)
 		_, out, errs := cli(func(string) string { return "" }, append(args, "--address", address, "--user", "op", "--key", s.key, "--hosts", hosts)...)
--- a/cmd/brookmux/operate.go
+++ b/cmd/brookmux/operate.go
@@ -178,13 +178,13 @@
 	}
 }
 
-// draining are the exchanges that have been told to drain.
+// draining are the exchanges that have been told to drain, or that they are gone.
 func (p *placement) draining() map[string]string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := map[string]string{}
 	for n, w := range p.words {
-		if w.Told == "draining" {
+		if w.Told == "draining" || w.Told == "gone" {
 			out[fmt.Sprint(n)] = w.Told
 		}
 	}
--- a/cmd/brookmux/operate_test.go
+++ b/cmd/brookmux/operate_test.go
@@ -156,18 +156,20 @@
 	return d
 }
 
-// heard waits until a subscriber has been told something; what was told before is told again.
-func (s *site) heard(want string) {
-	m, err := schema.Load(yang.Files)
-	require.NoError(s.t, err)
-	text, err := os.ReadFile(s.key)
+// signer reads a private key.
+func (s *site) signer(path string) ssh.Signer {
+	text, err := os.ReadFile(path)
 	require.NoError(s.t, err)
 	key, err := ssh.ParsePrivateKey(text)
 	require.NoError(s.t, err)
-	text, err = os.ReadFile(s.host)
-	require.NoError(s.t, err)
-	host, err := ssh.ParsePrivateKey(text)
+	return key
+}
+
+// heard waits until a subscriber has been told something; what was told before is told again.
+func (s *site) heard(want string) {
+	m, err := schema.Load(yang.Files)
 	require.NoError(s.t, err)
+	key, host := s.signer(s.key), s.signer(s.host)
 	c, err := client.Dial(s.out.await(s.t, `msg="netconf listens".* address=(\S+)`), &ssh.ClientConfig{User: "op",
 		Auth: []ssh.AuthMethod{ssh.PublicKeys(key)}, HostKeyCallback: ssh.FixedHostKey(host.PublicKey())}, m)
 	require.NoError(s.t, err)
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -5,7 +5,8 @@
 // Whose word counts, node by node:
 //
 //   - An exchange that the platform's list has is where and since when the list says (learned). What operators set of
-//     it can only take work away: draining or out-of-service holds, in-service does not undo a drain of the list.
+//     it can only take work away: draining or out-of-service holds, in-service does not undo a drain of the list. One
+//     that the list has had and has no more is gone, whatever is set of it, until the list has it again.
 //   - An exchange that only operators have set is as they set it (intended).
 //   - Aims, deadlines and worth of classes, and bounds, are what operators set; what they did not set is what the
 //     platform's settings say (system). Classes that the platform does not have can't be added: their widths and
@@ -172,6 +173,7 @@
 type Placer struct {
 	wanted map[int]Exchange
 	cores  []known
+	listed map[int]bool // numbers that the list has had; false for those that it has no more
 }
 
 // Want takes the exchanges that are set. At the program's start they count as there since long ago, and later as
@@ -229,6 +231,21 @@
 		ids[s.ID] = true
 		all = append(all, s)
 	}
+	// What the list had and has no more is gone by its word: what operators set does not take its place.
+	if p.listed == nil {
+		p.listed = map[int]bool{}
+	}
+	for n := range p.listed {
+		p.listed[n] = false
+	}
+	for _, s := range listed {
+		p.listed[s.Number] = true
+	}
+	for n, there := range p.listed {
+		if _, wanted := p.wanted[n]; wanted && !there {
+			words[n] = Word{Learned, "gone"}
+		}
+	}
 	for _, k := range p.cores {
 		_, isListed := words[k.Number]
 		if isListed && words[k.Number].Told != "" || ids[k.ID] {
@@ -243,7 +260,7 @@
 		own = append(own, c)
 	}
 	for _, c := range own {
-		if _, ok := p.wanted[c.Number]; ok {
+		if _, ok := p.wanted[c.Number]; ok { // not one that only lingers
 			words[c.Number] = Word{Origin: Intended}
 		}
 	}
--- a/internal/intent/intent_test.go
+++ b/internal/intent/intent_test.go
@@ -61,6 +61,26 @@
 	require.Empty(t, moved, "the list knows better")
 }
 
+// TestGone: an exchange that the list has dropped gets nothing by what operators have set of it, until it is listed
+// again.
+func TestGone(t *testing.T) {
+	list := []brookmux.Switch{{ID: 1, Number: 1, State: brookmux.Ready}, {ID: 2, Number: 2, State: brookmux.Ready}}
+	p := &Placer{}
+	p.Want(time.Hour, []Exchange{{2, "b:1", 0, brookmux.Ready, 0}}, true)
+	_, own, _, _ := p.Place(time.Hour, list)
+	require.Empty(t, own)
+	for range 2 { // also at a new commit
+		_, own, words, _ := p.Place(time.Hour, list[:1])
+		require.Empty(t, own, "nothing new to a node that was told gone")
+		require.Equal(t, Word{Learned, "gone"}, words[2])
+		p.Want(2*time.Hour, []Exchange{{2, "b:2", 0, brookmux.Ready, 0}}, false)
+	}
+	all, own, words, _ := p.Place(3*time.Hour, list)
+	require.Len(t, all, 2)
+	require.Empty(t, own)
+	require.Equal(t, Word{Learned, "ready"}, words[2])
+}
+
 // TestSettings: what is set goes over the platform's settings, and what the platform alone can say is refused.
 func TestSettings(t *testing.T) {
 	base := settings.Settings{ClassNames: []string{"page", "update"}, Widths: []float64{2, 1}, MostHeld: 100, Zones: []string{"east"}}
--- a/internal/transact/crash_test.go
+++ b/internal/transact/crash_test.go
@@ -51,6 +51,18 @@
 
 // put commits items in one transaction.
 func put(o *Owner, c datastore.Commit, items ...schema.Item) (datastore.Record, error) {
+	return change(o, c, func(tree *schema.Node) error {
+		for _, i := range items {
+			if err := tree.Put(i); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// change commits what a function makes of running, by way of the candidate.
+func change(o *Owner, c datastore.Commit, f func(*schema.Node) error) (datastore.Record, error) {
 	var who datastore.Session
 	err := o.Do(func(s *datastore.Store) (err error) {
 		if who, err = s.Open("op", "test"); err != nil {
@@ -60,10 +72,8 @@
 		if err != nil {
 			return err
 		}
-		for _, i := range items {
-			if err := tree.Put(i); err != nil {
-				return err
-			}
+		if err := f(tree); err != nil {
+			return err
 		}
 		return s.Replace(who.ID, tree)
 	})
@@ -287,7 +297,10 @@
 					Path: "/classes/class[name='a" + n + "']/aim", Value: "1"}, schema.Item{Path: "/classes/class[name='a" + n +
 					"']/deadline", Value: n}, schema.Item{Path: "/classes/class[name='a" + n + "']/worth", Value: "1"})
 				if f := (*datastore.Error)(nil); errors.As(err, &f) && f.Faults[0].AppTag == "too-many-elements" {
-					_, err = clear(o) // one transaction too
+					_, err = change(o, datastore.Commit{}, func(tree *schema.Node) error { // one transaction too
+						tree.Get("classes").Drop()
+						return tree.Put(schema.Item{Path: "/limits/max-wait", Value: n})
+					})
 				}
 				if err == nil {
 					fmt.Println(last + 1)
@@ -299,32 +312,6 @@
 	os.Exit(3)
 }
 
-// clear takes all classes off, and sets the number.
-func clear(o *Owner) (datastore.Record, error) {
-	var who datastore.Session
-	err := o.Do(func(s *datastore.Store) (err error) {
-		if who, err = s.Open("op", "test"); err != nil {
-			return err
-		}
-		tree, err := s.Get(datastore.Running)
-		if err != nil {
-			return err
-		}
-		tree.Get("classes").Drop()
-		if err := tree.Put(schema.Item{Path: "/limits/max-wait", Value: strconv.FormatUint(s.Last()+1, 10)}); err != nil {
-			return err
-		}
-		return s.Replace(who.ID, tree)
-	})
-	if err != nil {
-		return datastore.Record{}, err
-	}
-	defer o.Close(who.ID)
-	return o.Make(func(s *datastore.Store, at time.Time) (*datastore.Txn, error) {
-		return s.Commit(who.ID, datastore.Commit{}, at)
-	})
-}
-
 // TestKills: the process is killed at random moments (TRANSACT_KILLS of them, else 50). What it acknowledged is there
 // after each, once, and no transaction is there in part.
 func TestKills(t *testing.T) {
