Calls that stand hold a lease on their core; drains wait for the ends of calls

Cause: silence of a core was noticed only where something was sent to it. In a quiet process, or with all circuits taken, nothing was sent, and no timer ended the calls of a core that had vanished. Class: a wait for word from outside that only further word, or own traffic, could end.

Change: internal/liveness decides for each core, without I/O or clock, whether the process that has its calls is alive: a silent one is checked on a new connection once a second, its group state is compared with the calls that stand (another process may have the address), and after 7.4 s without word the calls are over. Caller connections that carry calls are not closed as idle; releases that are not acknowledged go out again; a release to a core is kept until it was read. After SIGTERM the program stays until the calls that stand are over, turns new set-ups away after 0.65 s, and closes connections on which nothing is left. Set-ups that wait for a connection are failed when their core is told to drain.

Ruled out: closing the checked connection in order.

Tests: playback's cores close as real ones do and end their calls before the exit; drain.txt has the ends of its calls told; the storm test's drain waits the five minutes that the program does, as the stand-in loses releases of replaced cores.

Found by the tests on the way and mended: of several new connections the last may greet first, and its time was lost (TestLaterConnectionGreetsFirst).

Measured: TestVanishedCore and TestCoreBackInTime pass (6 and 10 cases; 5 and 1 failed before).

--- a/cmd/brookmux/cli.go
+++ b/cmd/brookmux/cli.go
@@ -85,11 +85,15 @@
 
 type serveCommand struct {
 	LogFormat string `help:"Form of the log: text or json." enum:"text,json" default:"text" env:"BROOKMUX_LOG_FORMAT"`
+	LogLevel  string `help:"Least level that is logged; debug logs every attempt, release and connection." enum:"debug,info,warn,error" default:"info" env:"BROOKMUX_LOG_LEVEL"`
 }
 
 // Run serves until it is told to end.
 func (c serveCommand) Run(out io.Writer, getenv env) error {
 	level := &slog.LevelVar{}
+	if err := level.UnmarshalText([]byte(c.LogLevel)); err != nil {
+		return fmt.Errorf("log level: %w", err)
+	}
 	options := &slog.HandlerOptions{Level: level}
 	log := slog.New(slog.NewTextHandler(out, options))
 	if c.LogFormat == "json" {
--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -29,6 +29,12 @@
 // long ago.
 const before = time.Hour
 
+// After a drain the program stays until no caller sends anything, for a while at most.
+const (
+	quietWithin   = 4 * time.Second
+	quietInterval = 20 * time.Millisecond
+)
+
 func main() { os.Exit(command(os.Args[1:], os.Getenv, os.Stdout, os.Stderr)) }
 
 // signals are what the program is told from outside: to end, or to read its configuration again.
@@ -62,8 +68,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	merge := &directory.Merge{}
-	links := &trunks{Pool: corelink.New(ctx, corelink.Config{Within: conf.settings.ConnectTimeout, Log: log,
-		Lanes: lanes(conf.sockets), Origin: reader.Origin})}
+	links := &trunks{Pool: corelink.New(ctx, corelink.Config{ConnectTimeout: conf.settings.ConnectTimeout, Log: log,
+		Connections: connectionsPerCore(conf.sockets), Origin: reader.Origin})}
 	links.m3ua = m3ua.NewClient(conf.m3ua, log, func(list []brookmux.Switch) { merge.Set("m3ua", brookmux.Full, list) })
 	var front *sipfront.Front
 	reports := make(chan core.Counts, 1)
@@ -107,7 +113,7 @@
 		return err
 	}
 	go func() { failed <- names.Run(ctx) }()
-	manager, err := openManager(conf.manage, &manager{name: conf.name, log: log, level: level, engine: engine,
+	manager, err := openManager(conf.manage, &manager{name: conf.name, log: log, level: level, usualLevel: level.Level(), engine: engine,
 		front: front, most: conf.settings.MostHeld})
 	if err != nil {
 		return err
@@ -169,6 +175,9 @@
 		}
 		break
 	}
+	for began := time.Now(); !front.Quiet() && time.Since(began) < quietWithin; {
+		time.Sleep(quietInterval) // callers go on using open connections: what comes there is turned away
+	}
 	front.Close()
 	cancel()
 	links.Wait()
@@ -193,10 +202,10 @@
 	return callers - m3ua, m3ua
 }
 
-// lanes is how many connections to each core the descriptors allow. The more there are, the fewer set-ups one
+// connectionsPerCore is how many connections to each core the descriptors allow. The more there are, the fewer set-ups one
 // that fails takes with it. A core sends a group's state on four at most: three leave one for the time in which
 // a new connection takes the place of another.
-func lanes(sockets int) int { return max(1, min(3, sockets/64)) }
+func connectionsPerCore(sockets int) int { return max(1, min(3, sockets/64)) }
 
 // serveM3UA starts the second front.
 func serveM3UA(ctx context.Context, conf config, engine *core.Engine, links *trunks, peers int, log *slog.Logger,
@@ -245,7 +254,8 @@
 	var out []corelink.Core
 	for _, e := range l.Entries {
 		if e.Number != here {
-			out = append(out, corelink.Core{ID: e.ID, Addr: e.Addr, Since: e.Since})
+			out = append(out, corelink.Core{ID: e.ID, Addr: e.Addr, Since: e.Since,
+				Draining: e.State == brookmux.Draining})
 		}
 	}
 	return out
--- a/cmd/brookmux/manage.go
+++ b/cmd/brookmux/manage.go
@@ -108,13 +108,15 @@
 
 // manager ties the store to the program: what is configured takes effect, and what there is to tell is kept.
 type manager struct {
-	name   string
-	store  *store.Store
-	log    *slog.Logger
-	level  *slog.LevelVar
-	engine *core.Engine
-	front  *sipfront.Front
-	grpc   *grpc.Server
+	name  string
+	store *store.Store
+	log   *slog.Logger
+	level *slog.LevelVar
+
+	usualLevel slog.Level // where operators have set none
+	engine     *core.Engine
+	front      *sipfront.Front
+	grpc       *grpc.Server
 
 	mu        sync.Mutex
 	event     func(string, ...[2]string) // nil while nobody can be told
@@ -252,7 +254,7 @@
 		m.front.SetInService(value != "out-of-service")
 	case "log-level":
 		if value == "" || m.level.UnmarshalText([]byte(value)) != nil {
-			m.level.Set(slog.LevelInfo)
+			m.level.Set(m.usualLevel)
 		}
 	case "max-open-calls":
 		m.mu.Lock()
--- a/cmd/brookmux/operate.go
+++ b/cmd/brookmux/operate.go
@@ -209,7 +209,7 @@
 	var switches []brookmux.Switch
 	for _, c := range own {
 		if c.Number != p.here {
-			to = append(to, corelink.Core{ID: c.ID, Addr: c.Address, Since: c.Since})
+			to = append(to, corelink.Core{ID: c.ID, Addr: c.Address, Since: c.Since, Draining: c.State == brookmux.Draining})
 		}
 		switches = append(switches, c.Switch)
 	}
--- a/cmd/brookmux/reload.go
+++ b/cmd/brookmux/reload.go
@@ -72,7 +72,7 @@
 	r.conf, r.reader = next, reader
 	r.names.Move(names, reader)
 	r.names.Take(known) // older than the list in hand, as a rule: the numbers go on
-	r.links.SetWithin(next.settings.ConnectTimeout)
+	r.links.SetConnectTimeout(next.settings.ConnectTimeout)
 	r.tune(config{platform: next})
 	if listener != nil {
 		stop := r.unserve
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -18,6 +18,7 @@
 	Sent, LateAnswers, Unheard, Ignored, Strays, HungUp, Cut int
 	Results                                                  [8]int // of attempts that did not stand, by brookmux.Result
 	Guards                                                   int
+	Draining                                                 int    // set-ups turned away because the program is about to end
 	Storm                                                    *Storm // nil where storms are not seen
 }
 
@@ -50,7 +51,6 @@
 			e.counts.Stood++
 		}
 	}
-	e.checkDrained()
 }
 
 // close takes a call off the table and remembers its key.
@@ -59,6 +59,7 @@
 	delete(e.calls, c.Key)
 	delete(e.byID, c.id)
 	e.remember(c.Key)
+	e.checkDrained()
 }
 
 // remember keeps the key of a call that is over, so that what still arrives for it is known to be late.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -67,6 +67,7 @@
 	Class       string
 	Number      string
 	Left        time.Duration // how long its outcome will be waited for
+	Width       float64       // circuits that it takes
 	Description []byte
 }
 
@@ -101,6 +102,7 @@
 // Loss is what became of the attempts or calls that a core lost.
 type Loss struct {
 	Cut     bool          // calls that stand are lost too
+	Unsure  bool          // the core may still have them: it is told to let go
 	Before  time.Duration // those sent before this time only, on the engine's clock; 0 or less for all
 	Outcome Outcome
 }
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -23,7 +23,9 @@
 	releaseMargin = 20 * time.Millisecond  // on the wait after a timeout, reset or cancel: peers may read late
 	recentSpan    = 30 * time.Second       // ended calls are remembered for one to two of these
 	mostRecent    = 16384                  // and so many in each
-	drainLeast    = 800 * time.Millisecond // requests go on coming for up to 600 ms after SIGTERM, and are read late
+	drainAdmit    = 650 * time.Millisecond // after SIGTERM, calls are served for so long: callers go on for up to 600 ms
+	drainMin      = 800 * time.Millisecond // requests go on coming for up to 600 ms after SIGTERM, and are read late
+	drainMax      = 5 * time.Minute        // calls that stand are waited for no longer than this
 	countsEvery   = 10 * time.Second
 )
 
@@ -78,7 +80,7 @@
 	after     []func()
 	counts    Counts
 	drained   chan struct{}
-	drainAt   time.Duration
+	drainFrom time.Duration // when Drain was called, 0 if it was not
 	started   bool
 	most      int           // calls open at a time, 0 for any number
 	every     time.Duration // between two reports of the totals
@@ -350,23 +352,33 @@
 	})
 }
 
-// Drain lets the open calls finish; the channel closes once none is owed an answer and no more can come.
+// Drain lets the calls finish that are owed an answer or stand; the channel closes once there are none and no more can
+// come, or when they were waited for long enough. Set-ups that still come after a while are turned away.
 func (e *Engine) Drain() <-chan struct{} {
 	e.post(func() {
-		e.drainAt = e.now + drainLeast
-		e.in(drainLeast, e.checkDrained)
+		e.drainFrom = max(1, e.now)
+		e.in(drainMin, e.checkDrained)
+		e.in(drainMax, e.endDrain)
 	})
 	return e.drained
 }
 
-// checkDrained closes the channel of Drain when it is time.
+// draining tells whether set-ups are turned away because the program is about to end.
+func (e *Engine) draining() bool { return e.drainFrom > 0 && e.now-e.drainFrom >= drainAdmit }
+
+// checkDrained ends the drain when nothing is left.
 func (e *Engine) checkDrained() {
-	if e.drainAt == 0 || e.now < e.drainAt || e.open > 0 {
-		return
+	if e.drainFrom > 0 && e.now-e.drainFrom >= drainMin && len(e.calls) == 0 {
+		e.endDrain()
 	}
+}
+
+// endDrain closes the channel of Drain.
+func (e *Engine) endDrain() {
 	select {
 	case <-e.drained:
 	default:
+		e.Config.Log.Info("drained", "took", e.now-e.drainFrom, "standing", len(e.calls)-e.open, "open", e.open, "turned_away", e.counts.Draining)
 		close(e.drained)
 	}
 }
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -71,6 +71,9 @@
 		}
 		for _, k := range keys {
 			if c := e.calls[k]; c.has(at) && (l.Cut || !c.out.stands) && (l.Before <= 0 || c.out.at < l.Before) {
+				if l.Unsure && c.out.stands {
+					e.Trunks.Release(at, k, l.Outcome.Cause)
+				}
 				if !c.out.stands && !l.Cut && l.Outcome.Result == brookmux.ResultReset {
 					c.adrift = append(c.adrift, at)
 				}
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -15,7 +15,7 @@
 	c.out = l
 	l.timeout = e.in(timeout, func() { e.timedOut(c, l) })
 	e.counts.Sent++
-	e.Trunks.SetUp(to, Attempt{Key: c.Key, Class: c.Class, Number: c.Number, Left: timeout,
+	e.Trunks.SetUp(to, Attempt{Key: c.Key, Class: c.Class, Number: c.Number, Left: timeout, Width: c.Width,
 		Description: c.Description})
 }
 
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -36,6 +36,11 @@
 
 // takeIn enters a request in the table, and tells whether it did.
 func (e *Engine) takeIn(r Request, size int64) bool {
+	if e.draining() {
+		e.counts.Draining++
+		r.Caller.Refuse(r.Key, Verdict{Wait: e.Settings.Module.MaxRetryAfter, Cause: Congestion, Why: "draining"})
+		return false
+	}
 	if why := e.unfit(r); why != "" {
 		e.counts.Unfit++
 		r.Caller.Refuse(r.Key, Verdict{Failed: true, Bad: true, Cause: NotImplemented, Why: why})
--- a/internal/corelink/message.go
+++ b/internal/corelink/message.go
@@ -1,5 +1,5 @@
-// Package corelink keeps the connections to the cores, which speak JSON lines: one connection a core, the
-// set-ups open on it, load reports and the state of groups.
+// Package corelink keeps the connections to the cores, which speak JSON lines: a few to each, with the set-ups open on
+// them, load reports and the state of groups. Calls that stand on a core hold a lease on it, see package liveness.
 package corelink
 
 import (
@@ -14,6 +14,7 @@
 	"brookmux"
 	"brookmux/internal/core"
 	"brookmux/internal/jsontext"
+	"brookmux/internal/liveness"
 	"brookmux/internal/settings"
 )
 
@@ -25,12 +26,26 @@
 	sdp            []byte
 }
 
-// errForm tells that a line holds JSON that is none of the messages.
-var errForm = errors.New("line holds no message")
+// errForm tells that a line holds JSON that is none of the messages, errBrokenLine that one did not end.
+var (
+	errForm       = errors.New("line holds no message")
+	errBrokenLine = errors.New("line did not end")
+)
+
+// The types of messages.
+const (
+	kindAnswer   = "answer"
+	kindRelease  = "release"
+	kindReleased = "released"
+	kindProgress = "progress"
+	kindState    = "state"
+	kindPing     = "ping"
+	kindPong     = "pong"
+)
 
 // kinds are the types of the messages that a core may send.
-var kinds = map[string]bool{"answer": true, "release": true, "released": true, "progress": true, "state": true,
-	"ping": true, "pong": true}
+var kinds = map[string]bool{kindAnswer: true, kindRelease: true, kindReleased: true, kindProgress: true, kindState: true,
+	kindPing: true, kindPong: true}
 
 // parse reads a line. The message shares nothing with it or with the parser.
 func parse(p *fastjson.Parser, line []byte) (message, error) {
@@ -45,9 +60,9 @@
 	switch {
 	case !kinds[m.kind], m.id == "", fields != nil && fields.Type() != fastjson.TypeObject:
 		return message{}, errForm
-	case m.kind == "answer" && (v.Get("sdp") == nil || v.Get("sdp").Type() != fastjson.TypeString):
+	case m.kind == kindAnswer && (v.Get("sdp") == nil || v.Get("sdp").Type() != fastjson.TypeString):
 		return message{}, errForm // an answer without a description is not whole
-	case m.kind == "release" && (m.cause <= 0 || m.cause > 127):
+	case m.kind == kindRelease && (m.cause <= 0 || m.cause > 127):
 		return message{}, errForm
 	}
 	m.note = string(fields.GetStringBytes("note"))
@@ -55,6 +70,15 @@
 	return m, nil
 }
 
+// evidence is what the message tells of the process that sent it.
+func (m message) evidence() liveness.Message {
+	e := liveness.Message{GroupState: m.kind == kindState, Free: m.report.Free, Size: m.report.Size}
+	if m.kind == kindAnswer || m.kind == kindRelease {
+		e.Call = m.id
+	}
+	return e
+}
+
 // readLoad reads a report such as "x0:12;x1:40;queue:3"; what can't be read is left absent.
 func readLoad(r *brookmux.Report, text string) {
 	for part := range strings.SplitSeq(text, ";") {
--- a/internal/corelink/pool.go
+++ b/internal/corelink/pool.go
@@ -8,67 +8,89 @@
 
 	"brookmux"
 	"brookmux/internal/core"
+	"brookmux/internal/liveness"
 	"brookmux/internal/settings"
 )
 
-const defaultWithin = 500 * time.Millisecond
+const defaultConnectTimeout = 500 * time.Millisecond
 
 // Core is a line of the list: a core that may be reached.
 type Core struct {
-	ID    brookmux.SwitchID
-	Addr  string
-	Since time.Duration
+	ID       brookmux.SwitchID
+	Addr     string
+	Since    time.Duration // of its last start, on the clock whose zero is Config.Origin
+	Draining bool          // nothing new may be sent to it
 }
 
 // Config is what a Pool is made of.
 type Config struct {
-	Within time.Duration // a connection must come up in this time
-	Lanes  int           // connections to each core
-	Origin time.Time     // the clock's zero
-	Log    *slog.Logger
+	ConnectTimeout time.Duration // a connection must come up in this time
+	Connections    int           // to each core
+	Origin         time.Time     // the clock's zero
+	Log            *slog.Logger
 }
 
-// Pool is the set of connections. Use New; Update says which cores there are.
+// Pool is the set of connections to all cores. Use New; Update says which cores there are.
 type Pool struct {
 	Config
 	ctx    context.Context
 	events core.Events
 
-	mu    sync.Mutex
-	peers map[brookmux.SwitchID]*peer
-	lanes sync.WaitGroup // a goroutine for each
-	watch sync.WaitGroup
+	mu             sync.Mutex
+	endpoints      map[brookmux.SwitchID]*endpoint
+	lastConnection liveness.ConnectionID
+	keepers        sync.WaitGroup // a goroutine for each connection that is to be open
+	readers        sync.WaitGroup // and for each that is
+	watcher        sync.WaitGroup
 }
 
 // New returns a Pool without cores, whose connections end with the context.
 func New(ctx context.Context, c Config) *Pool {
-	if c.Within <= 0 {
-		c.Within = defaultWithin
+	if c.ConnectTimeout <= 0 {
+		c.ConnectTimeout = defaultConnectTimeout
 	}
-	c.Lanes = max(1, c.Lanes)
-	return &Pool{Config: c, ctx: ctx, peers: map[brookmux.SwitchID]*peer{}}
+	c.Connections = max(1, c.Connections)
+	return &Pool{Config: c, ctx: ctx, endpoints: map[brookmux.SwitchID]*endpoint{}}
 }
 
 // Serve names who takes the events and starts to watch the connections; it is called once, before Update.
 func (p *Pool) Serve(events core.Events) {
 	p.events = events
-	p.watch.Go(p.weed)
+	p.watcher.Go(p.watch)
 }
 
-// weed looks for connections that are open and of no use, until the context ends.
-func (p *Pool) weed() {
-	tick := time.NewTicker(watchEvery)
+// clock is a time on the clock of the engine.
+func (p *Pool) clock(t time.Time) time.Duration { return t.Sub(p.Origin) }
+
+// watch looks for connections of no use and for calls whose core is silent, until the context ends.
+func (p *Pool) watch() {
+	tick := time.NewTicker(watchInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-p.ctx.Done():
 			return
 		case now := <-tick.C:
-			p.mu.Lock()
-			for _, x := range p.peers {
-				x.weed(now)
-			}
-			p.mu.Unlock()
+			p.examine(now)
+		}
+	}
+}
+
+// examine looks at all cores once.
+func (p *Pool) examine(now time.Time) {
+	expired := map[brookmux.SwitchID][]liveness.Expiry{}
+	p.mu.Lock()
+	for id, e := range p.endpoints {
+		e.closeStalled(now)
+		if x := e.renewLease(now); len(x) > 0 {
+			expired[id] = x
+		}
+	}
+	p.mu.Unlock()
+	for id, list := range expired {
+		for _, x := range list {
+			// Only silence leaves it open whether the core still has the calls.
+			p.events.Lost(id, x.Calls, core.Loss{Cut: true, Unsure: x.Reason == liveness.ReasonSilent, Outcome: lost})
 		}
 	}
 }
@@ -82,100 +104,131 @@
 // Update takes the whole list of the cores that run. Calls on a core that is no longer there are over, and
 // those that were sent to one before it started again.
 func (p *Pool) Update(cores []Core) {
-	var dead []over
 	p.mu.Lock()
+	dead := p.dropUnlisted(cores)
+	for _, c := range cores {
+		dead = append(dead, p.update(c)...)
+	}
+	p.mu.Unlock()
+	for _, d := range dead {
+		p.events.Lost(d.id, nil, core.Loss{Cut: true, Before: d.before, Outcome: lost})
+	}
+}
+
+// dropUnlisted drops the cores that are not listed, or whose address is another's by now: what is connected there is
+// not theirs. The lock is held.
+func (p *Pool) dropUnlisted(cores []Core) (dead []over) {
 	listed, at := map[brookmux.SwitchID]bool{}, map[string]brookmux.SwitchID{}
 	for _, c := range cores {
 		listed[c.ID], at[c.Addr] = true, c.ID
 	}
-	for id, old := range p.peers {
-		// An address that has passed on to another core leads to that one: what is connected there is not ours.
-		if taker, taken := at[old.Addr]; !listed[id] || taken && taker != id && p.peers[taker] == nil {
+	for id, old := range p.endpoints {
+		if owner, taken := at[old.Addr]; !listed[id] || taken && owner != id && p.endpoints[owner] == nil {
 			old.drop()
-			delete(p.peers, id)
+			delete(p.endpoints, id)
 			dead = append(dead, over{id: id, before: -1})
 		}
 	}
-	for _, c := range cores {
-		old := p.peers[c.ID]
-		switch {
-		case old == nil:
-			p.add(c)
-		case old.Core == c:
-		case old.Addr == c.Addr:
-			// Connections that came up since then are to the new process, and so are the calls on them.
-			dead = append(dead, over{c.ID, c.Since})
-			old.Since = c.Since
-			old.restarted(p.Origin.Add(c.Since))
-		default:
-			dead = append(dead, over{id: c.ID, before: -1})
-			old.drop()
-			p.add(c)
-		}
+	return dead
+}
+
+// update takes a line of the list. The lock is held.
+func (p *Pool) update(c Core) (dead []over) {
+	old := p.endpoints[c.ID]
+	switch {
+	case old == nil:
+		p.add(c)
+		return nil
+	case old.Addr != c.Addr:
+		dead = append(dead, over{id: c.ID, before: -1})
+		old.drop()
+		p.add(c)
+		return dead
+	case old.Since != c.Since:
+		// Connections that came up since then are to the new process, and so are the calls on them.
+		dead = append(dead, over{c.ID, c.Since})
+		old.restarted(c.Since)
 	}
-	p.mu.Unlock()
-	for _, d := range dead {
-		p.events.Lost(d.id, nil, core.Loss{Cut: true, Before: d.before, Outcome: lost})
+	old.Since, old.Draining = c.Since, c.Draining
+	if c.Draining && len(old.waiting) > 0 { // they would be sent whenever a connection comes up
+		waiting := old.waiting
+		old.waiting = nil
+		go p.unreached(c.ID, waiting) // not from here: the lock is held
+	}
+	return dead
+}
+
+// unreached reports set-ups that found no connection.
+func (p *Pool) unreached(at brookmux.SwitchID, waiting []core.Attempt) {
+	if len(waiting) == 0 {
+		return
+	}
+	keys := make([]string, len(waiting))
+	for i, a := range waiting {
+		keys[i] = a.Key
 	}
+	p.events.Lost(at, keys, core.Loss{Outcome: notReached})
 }
 
 // lost is the outcome of what was open at a core, or at a connection, that is no more.
 var lost = core.Outcome{Result: brookmux.ResultReset, Report: settings.NoReport(), Cause: core.TemporaryFailure}
 
-// unreached is the outcome of a set-up that found no connection: it never ran.
-var unreached = core.Outcome{Result: brookmux.ResultConnectFailed, Report: settings.NoReport()}
+// notReached is the outcome of a set-up that found no connection: it never ran.
+var notReached = core.Outcome{Result: brookmux.ResultConnectFailed, Report: settings.NoReport()}
 
-// add starts a peer. The lock is held.
+// add starts an endpoint. The lock is held.
 func (p *Pool) add(c Core) {
 	ctx, cancel := context.WithCancel(p.ctx)
-	x := &peer{Core: c, pool: p, cancel: cancel, wake: make(chan struct{}, p.Lanes), links: map[*link]struct{}{}}
-	p.peers[c.ID] = x
-	for range p.Lanes {
-		p.lanes.Go(func() { x.run(ctx) })
+	e := &endpoint{Core: c, pool: p, ctx: ctx, cancel: cancel, wake: make(chan struct{}, p.Connections),
+		connections: map[*connection]struct{}{}, lease: liveness.New()}
+	p.endpoints[c.ID] = e
+	for range p.Connections {
+		p.keepers.Go(func() { e.run(ctx) })
 	}
 }
 
-// SetWithin sets the time in which a connection must come up, from the next one on.
-func (p *Pool) SetWithin(d time.Duration) {
+// SetConnectTimeout sets the time in which a connection must come up, from the next one on.
+func (p *Pool) SetConnectTimeout(d time.Duration) {
 	if d <= 0 {
-		d = defaultWithin
+		d = defaultConnectTimeout
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.Within = d
+	p.ConnectTimeout = d
 }
 
-// within is the time in which a connection must come up.
-func (p *Pool) within() time.Duration {
+// connectTimeout is the time in which a connection must come up.
+func (p *Pool) connectTimeout() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.Within
+	return p.ConnectTimeout
 }
 
 // Wait returns once all connections are over, after the context has ended.
 func (p *Pool) Wait() {
-	p.lanes.Wait()
-	p.watch.Wait()
+	p.keepers.Wait()
+	p.readers.Wait()
+	p.watcher.Wait()
 }
 
 // SetUp implements core.Trunks.
 func (p *Pool) SetUp(to brookmux.SwitchID, a core.Attempt) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if x := p.peers[to]; x != nil {
-		x.setUp(a)
+	if e := p.endpoints[to]; e != nil {
+		e.setUp(a)
 		return
 	}
 	// Not from here: the owner calls this.
-	go p.events.Lost(to, []string{a.Key}, core.Loss{Outcome: unreached})
+	go p.unreached(to, []core.Attempt{a})
 }
 
 // Release implements core.Trunks.
 func (p *Pool) Release(to brookmux.SwitchID, key string, cause core.Cause) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if x := p.peers[to]; x != nil {
-		x.release(key, cause)
+	if e := p.endpoints[to]; e != nil {
+		e.release(key, cause)
 	}
 }
 
@@ -183,7 +236,7 @@
 func (p *Pool) ReleaseAnywhere(key string, cause core.Cause) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, x := range p.peers {
-		x.release(key, cause)
+	for _, e := range p.endpoints {
+		e.release(key, cause)
 	}
 }
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 )
 
 // State is a phase of the program.
@@ -32,6 +33,7 @@
 type Lifecycle struct {
 	mu      sync.Mutex
 	state   State
+	entered time.Time // when the present state was entered
 	watches []func(from, to State)
 }
 
@@ -42,6 +44,16 @@
 	return l.state
 }
 
+// Since returns how long a state has been the present one, 0 if it is not.
+func (l *Lifecycle) Since(s State) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.state != s || l.entered.IsZero() {
+		return 0
+	}
+	return time.Since(l.entered)
+}
+
 // Watch calls f, in turn, at each later change. f must not call back into the Lifecycle.
 func (l *Lifecycle) Watch(f func(from, to State)) {
 	l.mu.Lock()
@@ -57,7 +69,7 @@
 		return fmt.Errorf("lifecycle: no way from %v to %v", l.state, next)
 	}
 	from := l.state
-	l.state = next
+	l.state, l.entered = next, time.Now()
 	for _, f := range l.watches {
 		f(from, next)
 	}
--- a/internal/playback/ledger.go
+++ b/internal/playback/ledger.go
@@ -20,6 +20,9 @@
 	moot  map[string]bool      // given up by the caller, or its connection ended: no answer is owed
 	out   map[string]string    // by call: the core that has an attempt
 	bad   map[string]time.Time // by call: when an attempt was given up or reset
+
+	stands   map[string]bool // by caller and call: answered, and not over
+	released map[string]bool // by core and call: released by the program
 }
 
 const releaseWait = 300 * time.Millisecond
@@ -29,7 +32,7 @@
 
 func newLedger(t *testing.T) *ledger {
 	return &ledger{t: t, asked: map[string]int{}, final: map[string]int{}, moot: map[string]bool{},
-		out: map[string]string{}, bad: map[string]time.Time{}}
+		out: map[string]string{}, bad: map[string]time.Time{}, stands: map[string]bool{}, released: map[string]bool{}}
 }
 
 // sent books what an actor sends.
@@ -49,6 +52,7 @@
 			l.asked[key(actor, cic)]++
 		} else if kind == 0x0c {
 			l.moot[key(actor, cic)] = true
+			delete(l.stands, key(actor, cic))
 		}
 	case 'x':
 		if kind, cic := isup(b); kind == 0x0c {
@@ -60,6 +64,8 @@
 			l.asked[k]++ // two under one id are owed one answer
 		} else if method == "CANCEL" {
 			l.moot[key(actor, callID(b))] = true
+		} else if method == "BYE" {
+			delete(l.stands, callID(b))
 		}
 	}
 }
@@ -75,9 +81,16 @@
 		case "setup":
 			l.begun(actor, call)
 		case "release":
+			l.released[key(actor, call)] = true
 			l.ended(actor, call, true)
 		}
 	case 'p':
+		switch kind, cic := isup(b); kind {
+		case 0x09:
+			l.stands[key(actor, cic)] = true
+		case 0x0c:
+			delete(l.stands, key(actor, cic))
+		}
 		// A circuit carries one call after another; a REL is its answer where none came before.
 		if kind, cic := isup(b); kind == 0x09 || kind == 0x0c && l.final[key(actor, cic)] < l.asked[key(actor, cic)] {
 			l.final[key(actor, cic)]++
@@ -89,8 +102,12 @@
 			l.ended(actor, actor+cic, true)
 		}
 	default:
-		if strings.HasPrefix(string(b), "SIP/2.0 ") && strings.Contains(string(b), " INVITE\r\n") && b[8] > '1' {
-			l.final[key(actor, callID(b))]++
+		text, k := string(b), key(actor, callID(b))
+		if strings.HasPrefix(text, "SIP/2.0 ") && strings.Contains(text, " INVITE\r\n") && b[8] > '1' {
+			l.final[k]++
+			l.stands[callID(b)] = l.stands[callID(b)] || b[8] == '2'
+		} else if strings.HasPrefix(text, "BYE ") {
+			delete(l.stands, callID(b))
 		}
 	}
 }
@@ -129,6 +146,51 @@
 	}
 }
 
+// repeated returns what a core got without releases that it had got before: they may come again on another
+// connection, as the first may not have been read.
+func (l *ledger) repeated(core, text string) string {
+	var out strings.Builder
+	for line := range strings.Lines(text) {
+		v, err := fastjson.Parse(line)
+		if err == nil && string(v.GetStringBytes("type")) == "release" && l.released[key(core, string(v.GetStringBytes("id")))] {
+			continue
+		}
+		out.WriteString(line)
+	}
+	return out.String()
+}
+
+// overAtLast returns what a caller or peer got at the end without the releases of calls that stood until then, one
+// each, and without the signs of an association that ends.
+func (l *ledger) overAtLast(actor string, b []byte) []byte {
+	var out []byte
+	for len(b) > 0 {
+		n := len(b)
+		if actor[0] == 'p' || actor[0] == 'x' {
+			if len(b) >= 8 {
+				n = min(n, int(binary.BigEndian.Uint32(b[4:8])))
+			}
+			kind, cic := isup(b[:n])
+			if k := key(actor, cic); kind == 0x0c && l.stands[k] {
+				delete(l.stands, k)
+			} else if !beat(b[:n]) {
+				out = append(out, b[:n]...)
+			}
+		} else {
+			if i := strings.Index(string(b), "\r\n\r\n"); i >= 0 && strings.HasPrefix(string(b), "BYE ") {
+				n = i + len("\r\n\r\n") // a BYE has no body
+			}
+			if id := callID(b[:n]); strings.HasPrefix(string(b), "BYE ") && l.stands[id] {
+				delete(l.stands, id)
+			} else {
+				out = append(out, b[:n]...)
+			}
+		}
+		b = b[n:]
+	}
+	return out
+}
+
 // check asserts that every call got its one final answer.
 func (l *ledger) check() {
 	for k := range l.asked {
--- a/internal/sipfront/conn.go
+++ b/internal/sipfront/conn.go
@@ -41,6 +41,8 @@
 	heard  atomic.Bool  // a whole message has come
 	proved atomic.Bool  // a set-up that came on it stood
 
+	standing atomic.Int32 // calls that stand whose set-up came on it; changed under the front's lock
+
 	mu      sync.Mutex
 	over    bool            // nothing more is taken
 	invites map[string]open // set-ups that are owed an answer
@@ -56,7 +58,7 @@
 // sent is a release with the time of its writing.
 type sent struct {
 	release
-	at time.Time
+	at time.Time // of the last writing
 }
 
 func newConn(f *Front, nc net.Conn) *conn {
@@ -149,7 +151,7 @@
 			return nil
 		case err == nil:
 			return c.nc.SetReadDeadline(time.Now().Add(messageWithin))
-		case errors.Is(err, os.ErrDeadlineExceeded) && heard && !c.idle():
+		case errors.Is(err, os.ErrDeadlineExceeded) && heard && (!c.idle() || c.standing.Load() > 0):
 			until = time.Now().Add(idleMost)
 		default:
 			return err
@@ -194,6 +196,7 @@
 			}
 			c.reply(m, 200, "OK")
 			c.withdrawn(m.id())
+			c.front.hungUp(m.id())
 		})
 	case m.method == "OPTIONS":
 		if c.front.tested() {
@@ -214,6 +217,7 @@
 	_, ok := c.byes[m.id()]
 	if ok && m.method == "BYE" && m.status >= 200 {
 		delete(c.byes, m.id())
+		c.front.acknowledged.Store(true)
 	}
 	return ok
 }
@@ -318,6 +322,7 @@
 	c.faults.Store(0)
 	c.proved.Store(true)
 	if m, ok := c.settle(key); ok {
+		c.front.stands(key, c)
 		c.Send(end(m.answer(200, "OK"), description))
 	}
 }
@@ -348,7 +353,7 @@
 
 // Release implements core.Caller.
 func (c *conn) Release(key string, cause core.Cause) {
-	c.front.release(c, release{key, cause, time.Now()})
+	c.front.release(c, release{key: key, cause: cause, at: time.Now()})
 }
 
 // bye writes a release, and tells whether the connection took it.
@@ -364,10 +369,25 @@
 	if c.over || !c.Send(bye(r.key, r.cause)) {
 		return false
 	}
+	r.sent++
 	c.byes[r.key] = sent{r, now}
 	return true
 }
 
+// unacknowledged takes off the releases whose acknowledgement is overdue and returns them.
+func (c *conn) unacknowledged(now time.Time) []release {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []release
+	for k, s := range c.byes {
+		if now.Sub(s.at) >= repeatAfter && s.sent < maxReleaseSent {
+			out = append(out, s.release)
+			delete(c.byes, k)
+		}
+	}
+	return out
+}
+
 // unheard lists the releases that may not have been read.
 func (c *conn) unheard() []release {
 	c.mu.Lock()
--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -23,6 +23,12 @@
 	mostReleases = 4096             // releases kept for the next connection
 	releaseLast  = 30 * time.Second // and how long: whoever was on the call has been told by others, or has gone
 	acceptPause  = 20 * time.Millisecond
+
+	watchInterval  = 50 * time.Millisecond
+	repeatAfter    = 600 * time.Millisecond // a release that is not acknowledged by then goes out on another connection
+	maxReleaseSent = 5                      // times in all
+	drainKeep      = 800 * time.Millisecond // after SIGTERM, connections stay for so long in any case
+	drainIdle      = 100 * time.Millisecond // and then until nothing has come on them for so long
 )
 
 // Engine is what the front hands requests to. *core.Engine is one.
@@ -46,9 +52,12 @@
 	retryAfter atomic.Bool // refusals say Retry-After beside X-Cooldown
 	paced      *paced      // new connections get their turn, nil for at once
 
-	mu     sync.Mutex
-	conns  map[*conn]struct{}
-	unsent []release // no connection was open for them
+	acknowledged atomic.Bool // callers acknowledge releases
+
+	mu      sync.Mutex
+	conns   map[*conn]struct{}
+	unsent  []release        // no connection was open for them
+	callers map[string]*conn // of the calls that stand: the connection of their set-up
 }
 
 // release is a call that stood and is over.
@@ -56,17 +65,19 @@
 	key   string
 	cause core.Cause
 	at    time.Time
+	sent  int // how many times it was written
 }
 
 // New returns a Front that holds at most so many connections.
 func New(engine Engine, phase *lifecycle.Lifecycle, most int, log *slog.Logger) *Front {
 	return &Front{engine: engine, phase: phase, most: max(1, most), log: log, seed: maphash.MakeSeed(),
-		conns: map[*conn]struct{}{}}
+		conns: map[*conn]struct{}{}, callers: map[string]*conn{}}
 }
 
 // Serve accepts callers until the context ends or the listener fails.
 func (f *Front) Serve(ctx context.Context, l net.Listener) error {
 	defer context.AfterFunc(ctx, func() { l.Close() })()
+	go f.watch(ctx)
 	for {
 		c, err := l.Accept()
 		switch {
@@ -158,6 +169,100 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.conns, c)
+	if c.standing.Load() == 0 {
+		return
+	}
+	for key, on := range f.callers {
+		if on == c {
+			delete(f.callers, key)
+		}
+	}
+}
+
+// stands notes that a call stands whose set-up came on a connection.
+func (f *Front) stands(key string, on *conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, open := f.conns[on]; open {
+		f.callers[key] = on
+		on.standing.Add(1)
+	}
+}
+
+// over notes that a call that stood is over. The lock is held.
+func (f *Front) over(key string) {
+	if c := f.callers[key]; c != nil {
+		delete(f.callers, key)
+		c.standing.Add(-1)
+	}
+}
+
+// hungUp notes that a caller has ended its call.
+func (f *Front) hungUp(key string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.over(key)
+}
+
+// watch repeats releases that were not acknowledged, and ends idle connections while the program drains.
+func (f *Front) watch(ctx context.Context) {
+	tick := time.NewTicker(watchInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			f.repeatReleases(now)
+			if since := f.phase.Since(lifecycle.Draining); since > drainKeep {
+				f.closeIdle(now)
+			}
+		}
+	}
+}
+
+// repeatReleases sends releases again on other connections that were not acknowledged, where callers do so: their own
+// connection may be cut without a sign.
+func (f *Front) repeatReleases(now time.Time) {
+	if !f.acknowledged.Load() {
+		return
+	}
+	f.mu.Lock()
+	var late []release
+	var from []*conn
+	for c := range f.conns {
+		for _, r := range c.unacknowledged(now) {
+			late, from = append(late, r), append(from, c)
+		}
+	}
+	f.mu.Unlock()
+	for i, r := range late {
+		f.log.Info("release_repeated", "call", r.key, "sent", r.sent, "after", now.Sub(r.at))
+		f.releaseElsewhere(from[i], r)
+	}
+}
+
+// closeIdle ends the connections on which nothing is left. A set-up that crosses that is sent again by its caller.
+func (f *Front) closeIdle(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if c.standing.Load() == 0 && now.UnixNano()-c.last.Load() > int64(drainIdle) && c.evict() {
+			delete(f.conns, c)
+		}
+	}
+}
+
+// Quiet tells whether no connection has brought anything for a while.
+func (f *Front) Quiet() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if c.heard.Load() && time.Now().UnixNano()-c.last.Load() < int64(drainIdle) {
+			return false
+		}
+	}
+	return true
 }
 
 // retell sends the releases that may not have been read on a connection that is over on another.
@@ -167,17 +272,28 @@
 	}
 }
 
-// release tells a caller that a call is over, on the connection named if it is open, else on the one of most
-// worth that was heard last, else on the next: no connection owns a call that stands.
+// release tells a caller that a call is over, on the connection named if it is open, else on another: no connection
+// owns a call that stands.
 func (f *Front) release(on *conn, r release) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if _, open := f.conns[on]; open && on.bye(r) {
-		return
+	f.over(r.key)
+	_, open := f.conns[on]
+	told := open && on.bye(r)
+	f.mu.Unlock()
+	f.log.Debug("call_released", "call", r.key, "cause", r.cause, "own_connection", told)
+	if !told {
+		f.releaseElsewhere(on, r)
 	}
+}
+
+// releaseElsewhere tells a caller on another connection that a call is over: on the one of most worth that was heard
+// last, or on the next.
+func (f *Front) releaseElsewhere(than *conn, r release) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var others []*conn
 	for c := range f.conns {
-		if c != on && c.heard.Load() {
+		if c != than && c.heard.Load() {
 			others = append(others, c)
 		}
 	}
@@ -189,13 +305,16 @@
 			return
 		}
 	}
+	f.log.Info("release_waits", "call", r.key, "connections", len(f.conns))
 	if len(f.unsent) < mostReleases {
 		f.unsent = append(f.unsent, r)
 	}
 }
 
 // Stray releases a call whose connection is not known, as one that an earlier process set up.
-func (f *Front) Stray(key string, cause core.Cause) { f.release(nil, release{key, cause, time.Now()}) }
+func (f *Front) Stray(key string, cause core.Cause) {
+	f.release(nil, release{key: key, cause: cause, at: time.Now()})
+}
 
 // Close ends all connections once what is queued on them has been written.
 func (f *Front) Close() {
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -139,6 +139,12 @@
 	}
 }
 
+// HalfClose writes what is queued, then ends the writing half. The connection stays open for reading.
+func (w *Writer) HalfClose() {
+	w.half.Store(true)
+	w.Finish()
+}
+
 // Part writes what is queued, ends the writing half, and closes the connection once the peer has had time to
 // read that: what it still sends is read and dropped for a while. Were the connection closed at once, the
 // peer's system would be told of a reset, and could drop the last answer unread. The caller of Part must have
