Discovery: an answer counts however late; the pace follows the service

Cause: a query left every 200 ms whatever happened, and an answer older than 3 s was thrown away, so a slow service was never heard and a crowded one was kept crowded by its clients.

Faults are logged with a typed reason. Tests on real sockets for slow, crowded and lossy discovery, and for seven kinds of drain.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -104,8 +104,8 @@
 	return out
 }
 
-// query writes a question for the whole list.
-func query(number uint16) ([]byte, error) {
+// encodeQuery writes a query for the whole list.
+func encodeQuery(number uint16) ([]byte, error) {
 	b := dnsmessage.NewBuilder(nil, dnsmessage.Header{ID: number, RecursionDesired: false})
 	if err := b.StartQuestions(); err != nil {
 		return nil, err
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -13,36 +13,48 @@
 )
 
 const (
-	askEvery   = 200 * time.Millisecond
-	answerLast = 3 * time.Second // an answer that comes later than this is to no question of ours
-	answerMost = 8 << 10
-	logEvery   = 5 * time.Second
+	answerMost  = 8 << 10
+	logInterval = 5 * time.Second
+	slowAnswer  = time.Second // an answer that takes longer is logged
 )
 
-// Service follows the name service: it asks for the whole list every so often and hands each newer one on.
-// Use NewService, then Run; Move may be called from any goroutine.
+// Fault is what is wrong with a call to the name service.
+type Fault string
+
+// The faults of a call.
+const (
+	FaultSilent     Fault = "silent"      // no answer in time
+	FaultRefused    Fault = "refused"     // nothing listens at the address
+	FaultUnreadable Fault = "unreadable"  // the answer can't be used, or reports a failure
+	FaultNoQuery    Fault = "no_query"    // the answer is to no query of ours
+	FaultUnsent     Fault = "unsent"      // the query could not be written
+	FaultSlow       Fault = "slow_answer" // it counts, but came late
+)
+
+// Service follows the name service: it asks for the whole list every so often and hands each newer one on. An answer
+// counts by its serial, however late it comes. Use NewService, then Run; Move may be called from any goroutine.
 type Service struct {
 	reader Reader
 	log    *slog.Logger
 	told   func(List)
+	kick   chan struct{} // the schedule has changed
 
-	mu     sync.Mutex
-	conn   net.Conn             // to the present address
-	asked  map[uint16]time.Time // questions that may still be answered, by id
-	serial uint32
-	logged time.Time
+	mu       sync.Mutex
+	conn     net.Conn // to the present address
+	schedule *schedule
+	serial   uint32
+	logged   map[Fault]time.Time
 }
 
 // NewService returns a Service that has a list of this number and asks at server. told gets each newer one,
 // one at a time.
 func NewService(r Reader, server string, serial uint32, log *slog.Logger, told func(List)) (*Service, error) {
-	s := &Service{serial: serial, log: log, told: told}
 	conn, err := Dial(server)
 	if err != nil {
 		return nil, err
 	}
-	s.Move(conn, r)
-	return s, nil
+	return &Service{serial: serial, log: log, told: told, conn: conn, reader: r, kick: make(chan struct{}, 1),
+		schedule: newSchedule(), logged: map[Fault]time.Time{}}, nil
 }
 
 // Check tells whether a name service can be asked at an address.
@@ -68,12 +80,19 @@
 func (s *Service) Move(conn net.Conn, r Reader) {
 	s.mu.Lock()
 	old := s.conn
-	s.conn, s.reader, s.asked = conn, r, map[uint16]time.Time{}
+	s.conn, s.reader = conn, r
+	s.schedule.restart()
 	s.mu.Unlock()
-	if old != nil {
-		old.Close() // wakes Run, which reads from the new one
+	old.Close() // wakes Run, which reads from the new one
+	s.wake()
+}
+
+// wake has the schedule looked at.
+func (s *Service) wake() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
 	}
-	s.ask()
 }
 
 // Take hands a list on if it is newer than the one in hand, and tells whether it was.
@@ -91,7 +110,7 @@
 
 // Run asks until the context ends.
 func (s *Service) Run(ctx context.Context) error {
-	go s.repeat(ctx)
+	go s.ask(ctx)
 	defer context.AfterFunc(ctx, func() { s.present().Close() })()
 	buf := make([]byte, answerMost+1)
 	for {
@@ -103,13 +122,13 @@
 			return nil
 		case errors.Is(err, net.ErrClosed) && conn != s.present(): // moved
 		case err != nil:
-			s.complain(err)
-			select { // refused: the service is down for the moment
-			case <-time.After(askEvery):
+			s.refused(err)
+			select { // the service is down for the moment
+			case <-time.After(queryInterval):
 			case <-ctx.Done():
 			}
 		default:
-			s.answered(buf[:n])
+			s.answered(conn, buf[:n])
 		}
 	}
 }
@@ -121,67 +140,106 @@
 	return s.conn
 }
 
-// answered reads an answer. One that can't be used, or is to no question of ours, leaves the list as it is;
-// the next question is out soon.
-func (s *Service) answered(packet []byte) {
+// clock is the present time on the schedule's clock.
+func (s *Service) clock() time.Duration { return time.Since(s.reader.Origin) }
+
+// random is a number from -1 to 1.
+func random() float64 { return 2*rand.Float64() - 1 }
+
+// refused notes that nothing listens at the address. Queries that wait there are lost.
+func (s *Service) refused(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.schedule.refused(random())
+	s.complain(FaultRefused, err)
+}
+
+// answered reads an answer. One that can't be used, or is to no query of ours, leaves the list as it is.
+func (s *Service) answered(from net.Conn, packet []byte) {
 	s.mu.Lock()
 	reader := s.reader
 	s.mu.Unlock()
-	id, l, err := reader.Answer(packet)
+	id, list, err := reader.Answer(packet)
+	if s.note(from, id, err) {
+		s.Take(list)
+	}
+	s.wake()
+}
+
+// note has the schedule follow an answer, and tells whether its list counts.
+func (s *Service) note(from net.Conn, id uint16, err error) bool {
 	s.mu.Lock()
-	at, ok := s.asked[id]
-	delete(s.asked, id)
-	s.mu.Unlock()
-	if err == nil && (!ok || time.Since(at) > answerLast) {
-		err = fmt.Errorf("directory: answer with id %d is to no open question", id)
+	defer s.mu.Unlock()
+	if from != s.conn {
+		return false
 	}
 	if err != nil {
-		s.complain(err)
-		return
+		s.schedule.rejected(id, random())
+		s.complain(FaultUnreadable, err)
+		return false
+	}
+	delay, ours := s.schedule.answered(id, s.clock())
+	if !ours {
+		s.complain(FaultNoQuery, fmt.Errorf("answer under number %d", id))
+	} else if delay > slowAnswer {
+		s.complain(FaultSlow, fmt.Errorf("answer after %v", delay.Round(time.Millisecond)))
 	}
-	s.Take(l)
+	return ours
 }
 
-// complain logs what is wrong with the name service, now and then.
-func (s *Service) complain(err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if time.Since(s.logged) > logEvery {
-		s.log.Warn("name service", "error", err)
-		s.logged = time.Now()
+// complain logs what is wrong with the name service, each fault now and then. The lock is held.
+func (s *Service) complain(fault Fault, err error) {
+	if time.Since(s.logged[fault]) > logInterval {
+		s.log.Warn("discovery_fault", "reason", string(fault), "failures", s.schedule.failures, "interval", s.schedule.interval(),
+			"delay", s.schedule.delay, "serial", s.serial, "error", err)
+		s.logged[fault] = time.Now()
 	}
 }
 
-// repeat sends a question every so often.
-func (s *Service) repeat(ctx context.Context) {
-	tick := time.NewTicker(askEvery)
-	defer tick.Stop()
+// ask sends queries as the schedule has it.
+func (s *Service) ask(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
-		case <-tick.C:
-			s.ask()
+		case <-timer.C:
+		case <-s.kick:
 		case <-ctx.Done():
 			return
 		}
+		timer.Reset(s.step())
+	}
+}
+
+// step sends a query if one is due, and returns the time to the next look.
+func (s *Service) step() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	if lost := s.schedule.tick(now, random()); lost > 0 {
+		s.complain(FaultSilent, fmt.Errorf("%d queries without an answer", lost))
+	}
+	if s.schedule.due(now) {
+		s.send(now)
 	}
+	return max(time.Millisecond, s.schedule.next(now)-now)
 }
 
-// ask sends a question and forgets those that are too old to be answered.
-func (s *Service) ask() {
-	number := uint16(rand.Uint32())
-	q, err := query(number)
+// send writes a query. UDP does not block. The lock is held.
+func (s *Service) send(now time.Duration) {
+	id := uint16(rand.Uint32())
+	for s.schedule.uses(id) {
+		id++
+	}
+	packet, err := encodeQuery(id)
 	if err != nil {
-		s.complain(err)
+		s.schedule.failed(random())
+		s.complain(FaultUnsent, err)
 		return
 	}
-	s.mu.Lock()
-	for id, at := range s.asked {
-		if time.Since(at) > answerLast {
-			delete(s.asked, id)
-		}
+	s.schedule.sent(id, now)
+	if _, err := s.conn.Write(packet); err != nil && !errors.Is(err, net.ErrClosed) {
+		s.schedule.rejected(id, random())
+		s.complain(FaultUnsent, err)
 	}
-	s.asked[number] = time.Now()
-	conn := s.conn
-	s.mu.Unlock()
-	_, _ = conn.Write(q) // a lost question is asked again at the next tick
 }
--- a/internal/faulttrial/check.go
+++ b/internal/faulttrial/check.go
@@ -28,6 +28,9 @@
 	fallWindow      = 2 * time.Second
 )
 
+// excuseRestarted is the excuse of a call whose end came after its controller had ended.
+const excuseRestarted = "the call's controller was restarted"
+
 // Rule names what a Finding breaks.
 type Rule string
 
@@ -409,7 +412,7 @@
 		return
 	}
 	if exit, _ := c.exitAfter(r.sent.Controller, r.answers[0].At); exit != nil && exit.At <= due {
-		c.excuse("the call's controller was restarted")
+		c.excuse(excuseRestarted)
 		return
 	}
 	text := "its end was not told within " + why
--- a/internal/faulttrial/incident_test.go
+++ b/internal/faulttrial/incident_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -154,3 +155,86 @@
 		}
 	}
 }
+
+// TestSlowDiscovery: answers that come late count, and a service that answers one query after another is not kept
+// crowded: nothing new goes to a core that drains.
+func TestSlowDiscovery(t *testing.T) {
+	for _, mode := range []struct {
+		DiscoveryMode
+		delay time.Duration
+	}{{Slow, 3500 * time.Millisecond}, {Slow, 5 * time.Second}, {Crowded, time.Second}, {Crowded, 300 * time.Millisecond}, {Lossy, 0}} {
+		t.Run(fmt.Sprintf("%s %v", mode.DiscoveryMode, mode.delay), func(t *testing.T) {
+			t.Parallel()
+			l := newTestLab(t, func(c *LabConfig) { c.Core.Hold = time.Second })
+			require.NoError(t, l.Discovery.SetMode(mode.DiscoveryMode, mode.delay))
+			go l.Callers(0).Run()
+			time.Sleep(7 * time.Second)
+			core := l.Core(1)
+			l.Discovery.Set(Member{ID: core.ID, Number: 1, State: Draining, Addresses: core.Addresses()})
+			time.Sleep(9 * time.Second)
+			requireKept(t, l)
+			var told, after int
+			for _, e := range l.Record.Events() {
+				switch {
+				case e.Kind == DiscoverySent && e.Serial == 2:
+					told++
+				case e.Kind == CoreSetup && e.Core == core.ID && told > 1:
+					after++
+				}
+			}
+			require.NotZero(t, told)
+			require.LessOrEqual(t, after, 25, "the drain is known")
+		})
+	}
+}
+
+// TestDrain: after SIGTERM, the ends of the calls that stand are told, what still comes on open connections is
+// answered, and the program ends by itself. More signals change nothing.
+func TestDrain(t *testing.T) {
+	for name, during := range map[string]func(*testing.T, *Lab){
+		"plain": func(*testing.T, *Lab) {},
+		"signals": func(_ *testing.T, l *Lab) {
+			l.Controller(0).Signal(syscall.SIGTERM)
+			l.Controller(0).Signal(syscall.SIGHUP)
+		},
+		"discovery down": func(t *testing.T, l *Lab) { require.NoError(t, l.Discovery.SetMode(Refused, 0)) },
+		"core vanishes":  func(_ *testing.T, l *Lab) { l.Core(1).Vanish() },
+		"core hangs":     func(_ *testing.T, l *Lab) { l.Core(1).Hang(); time.Sleep(2 * time.Second); l.Core(1).Return() },
+		"core crashes":   func(_ *testing.T, l *Lab) { l.Core(1).Crash() },
+		"configuration": func(t *testing.T, l *Lab) {
+			require.NoError(t, l.Discovery.Move("n1"))
+			require.NoError(t, l.Controller(0).WriteConfig(false))
+			l.Controller(0).Signal(syscall.SIGHUP)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := newTestLab(t, func(c *LabConfig) { c.Core.Hold = 3 * time.Second })
+			go l.Callers(0).Run()
+			time.Sleep(1500 * time.Millisecond)
+			l.Controller(0).Signal(syscall.SIGTERM)
+			time.Sleep(100 * time.Millisecond)
+			l.Callers(0).Pause(true) // no new connections; those that are open stay in use
+			during(t, l)
+			time.Sleep(2500 * time.Millisecond)
+			l.Callers(0).Stop(true)
+			select {
+			case <-l.Controller(0).Exited():
+			case <-time.After(14 * time.Second):
+				require.Fail(t, "the program does not end")
+			}
+			require.Eventually(t, func() bool { return l.Standing() == 0 }, 8*time.Second, 10*time.Millisecond)
+			time.Sleep(releaseTold + 2*slack) // the last end is due by then
+			verdict := requireKept(t, l)
+			require.Zero(t, verdict.Excused[excuseRestarted], "the ends of all calls are told")
+			exits := 0
+			for _, e := range l.Record.Events() {
+				if e.Kind == ProcessExit {
+					require.Equal(t, "0", e.Text)
+					exits++
+				}
+			}
+			require.Equal(t, 1, exits)
+		})
+	}
+}
