Seeded fault trials; calls on a core that took another's address are kept

Releases that waited for a connection went out on the first that only tests, before the answer to the test.

Change: the endpoint, and the calls set up since the new core's start, pass on to the new id; releases wait for a connection that is not one of tests only. cmd/faultsoak with internal/faulttrial: plans drawn from seeds, 21 kinds of faults, a checker on the records of the stand-ins.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -115,6 +115,9 @@
 	Ended(from brookmux.SwitchID, key string, o Outcome)
 	// Lost tells that what was open at a core is lost; see Engine.Lost.
 	Lost(at brookmux.SwitchID, keys []string, l Loss)
+	// Moved tells that what is open under one id is at the core of another: it had taken the address before it was
+	// listed.
+	Moved(from, to brookmux.SwitchID)
 	// Reported hands on a core's report that belongs to no call.
 	Reported(from brookmux.SwitchID, r brookmux.Report, unasked bool)
 	// Congested tells the congestion level that a core has told, 0 for none.
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -23,6 +23,7 @@
 	releaseMargin = 20 * time.Millisecond  // on the wait after a timeout, reset or cancel: peers may read late
 	recentSpan    = 30 * time.Second       // ended calls are remembered for one to two of these
 	mostRecent    = 16384                  // and so many in each
+	mostMoved     = 256                    // former ids of cores that are remembered
 	drainAdmit    = 650 * time.Millisecond // after SIGTERM, calls are served for so long: callers go on for up to 600 ms
 	drainMin      = 800 * time.Millisecond // requests go on coming for up to 600 ms after SIGTERM, and are read late
 	drainMax      = 5 * time.Minute        // calls that stand are waited for no longer than this
@@ -68,15 +69,16 @@
 	lastID    brookmux.CallID
 	switches  map[brookmux.SwitchID]brookmux.Switch
 	recent    [2]map[string]struct{}
-	loads     map[int]*load     // by exchange
-	numbers   map[int]bool      // of the exchanges that were ever listed
-	told      map[int]Condition // how exchanges are, as last told
-	sizes     map[int]float64   // of the groups toward them, as last told
-	planned   map[int]float64   // set-ups a second that exchanges are planned to bear, by number
-	open      int               // calls that are owed an answer
-	mostBytes atomic.Int64      // of them, 0 for any number
-	held      atomic.Int64      // bytes of the requests that are queued or owed an answer
-	strayAt   time.Duration     // when the last hang-up of an unknown call was paid for
+	moved     map[brookmux.SwitchID]brookmux.SwitchID // former ids of cores
+	loads     map[int]*load                           // by exchange
+	numbers   map[int]bool                            // of the exchanges that were ever listed
+	told      map[int]Condition                       // how exchanges are, as last told
+	sizes     map[int]float64                         // of the groups toward them, as last told
+	planned   map[int]float64                         // set-ups a second that exchanges are planned to bear, by number
+	open      int                                     // calls that are owed an answer
+	mostBytes atomic.Int64                            // of them, 0 for any number
+	held      atomic.Int64                            // bytes of the requests that are queued or owed an answer
+	strayAt   time.Duration                           // when the last hang-up of an unknown call was paid for
 	after     []func()
 	counts    Counts
 	drained   chan struct{}
@@ -93,7 +95,7 @@
 		most: c.Settings.MostHeld, every: countsEvery,
 		classes: map[string]int{}, calls: map[string]*call{}, byID: map[brookmux.CallID]*call{},
 		switches: map[brookmux.SwitchID]brookmux.Switch{}, drained: make(chan struct{}), loads: map[int]*load{},
-		numbers: map[int]bool{}, sizes: map[int]float64{}, told: map[int]Condition{}}
+		numbers: map[int]bool{}, moved: map[brookmux.SwitchID]brookmux.SwitchID{}, sizes: map[int]float64{}, told: map[int]Condition{}}
 	e.recent = [2]map[string]struct{}{{}, {}}
 	e.mostBytes.Store(c.MostBytes)
 	var err error
@@ -311,6 +313,7 @@
 		}
 		for _, s := range m.Switches {
 			e.noteStart(before, s)
+			delete(e.moved, s.ID) // listed under its own id again
 			if e.switches[s.ID] = s; s.State == brookmux.Gone {
 				delete(e.switches, s.ID)
 			}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -13,6 +13,7 @@
 // Answered takes a core's word that a call stands, with its description, and relays it.
 func (e *Engine) Answered(from brookmux.SwitchID, key string, description []byte, r brookmux.Report) {
 	e.post(func() {
+		from = e.present(from)
 		e.learn(from, r, false)
 		c := e.calls[key]
 		if !c.has(from) || c.out.stands {
@@ -33,6 +34,7 @@
 // Ended takes a core's end of an attempt or of a call that stood.
 func (e *Engine) Ended(from brookmux.SwitchID, key string, o Outcome) {
 	e.post(func() {
+		from = e.present(from)
 		c := e.calls[key]
 		switch {
 		case c.has(from) && !o.Elsewhere:
@@ -61,6 +63,7 @@
 // calls that stood on a core that has died. An empty list of keys means every call there.
 func (e *Engine) Lost(at brookmux.SwitchID, keys []string, l Loss) {
 	e.post(func() {
+		at = e.present(at)
 		if keys == nil {
 			for k, c := range e.calls {
 				if c.has(at) {
@@ -83,6 +86,30 @@
 	})
 }
 
+// Moved takes word that what is open under one id is at the core of another: it had taken the address before it was
+// listed. What is still said under the former id is the latter's.
+func (e *Engine) Moved(from, to brookmux.SwitchID) {
+	e.post(func() {
+		if len(e.moved) >= mostMoved {
+			clear(e.moved) // they are of use for a moment only
+		}
+		e.moved[from] = to
+		for _, c := range e.calls {
+			if c.has(from) {
+				c.out.to = to
+			}
+		}
+	})
+}
+
+// present is the id under which a core is listed now.
+func (e *Engine) present(id brookmux.SwitchID) brookmux.SwitchID {
+	if to, ok := e.moved[id]; ok {
+		return to
+	}
+	return id
+}
+
 // Ignored counts what a core sent beside what it owes: a second copy, or an answer that nobody asked for.
 func (e *Engine) Ignored(from brookmux.SwitchID, key, what string) {
 	e.post(func() { e.ignored(from, key, what) })
--- a/internal/corelink/connection.go
+++ b/internal/corelink/connection.go
@@ -162,7 +162,7 @@
 		c.sendSetUp(a, now)
 	}
 	e.releases, e.waiting = nil, nil
-	e.pool.Log.Debug("core_connected", "core", e.ID, "connection", c.id)
+	e.pool.Log.Debug("core_connected", "core", e.id(), "connection", c.id)
 	e.pool.readers.Go(func() { e.serve(ctx, c) })
 	return c
 }
@@ -196,13 +196,13 @@
 		if c.retired {
 			level = slog.LevelDebug
 		}
-		e.pool.Log.Log(ctx, level, "core_connection_closed", "core", e.ID, "connection", c.id, "open", len(open), "error", err)
+		e.pool.Log.Log(ctx, level, "core_connection_closed", "core", e.id(), "connection", c.id, "open", len(open), "error", err)
 	}
 	if state != nil {
-		e.pool.events.Reported(e.ID, *state, true)
+		e.pool.events.Reported(e.id(), *state, true)
 	}
 	if len(open) > 0 {
-		e.pool.events.Lost(e.ID, open, core.Loss{Outcome: lost})
+		e.pool.events.Lost(e.id(), open, core.Loss{Outcome: lost})
 	}
 }
 
@@ -277,19 +277,19 @@
 	}
 	e.pool.mu.Unlock()
 	if m.kind == kindRelease || m.kind == kindAnswer {
-		e.pool.Log.Debug("core_message", "core", e.ID, "connection", c.id, "type", m.kind, "call", m.id, "cause", m.cause, "own", own)
+		e.pool.Log.Debug("core_message", "core", e.id(), "connection", c.id, "type", m.kind, "call", m.id, "cause", m.cause, "own", own)
 	}
 	switch {
 	case m.kind == kindAnswer && own:
-		e.pool.events.Answered(e.ID, m.id, m.sdp, m.report)
+		e.pool.events.Answered(e.id(), m.id, m.sdp, m.report)
 	case m.kind == kindAnswer:
-		e.pool.events.Ignored(e.ID, m.id, "answer to no open set-up of its connection")
+		e.pool.events.Ignored(e.id(), m.id, "answer to no open set-up of its connection")
 	case m.kind == kindRelease:
 		o := m.outcome()
 		o.Elsewhere = elsewhere && !own
-		e.pool.events.Ended(e.ID, m.id, o)
+		e.pool.events.Ended(e.id(), m.id, o)
 	case news:
-		e.pool.events.Reported(e.ID, m.report, true)
+		e.pool.events.Reported(e.id(), m.report, true)
 	case m.kind == kindPing:
 		c.Send(causeLine(kindPong, m.id, 1))
 	}
--- a/internal/corelink/endpoint.go
+++ b/internal/corelink/endpoint.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,7 +29,8 @@
 
 // endpoint is a core with the connections to it. The pool's lock guards it.
 type endpoint struct {
-	Core
+	Core                      // its ID is that of the start; see id
+	listedAs    atomic.Uint32 // the id that it is listed under
 	pool        *Pool
 	ctx         context.Context // ends with the endpoint
 	cancel      context.CancelFunc
@@ -43,6 +45,9 @@
 	replacedAt  time.Time      // when a connection was last closed without another to compare it with
 }
 
+// id is the id that the core is listed under.
+func (e *endpoint) id() brookmux.SwitchID { return brookmux.SwitchID(e.listedAs.Load()) }
+
 // heldRelease is a release that the core has yet to read.
 type heldRelease struct {
 	line  []byte
@@ -168,7 +173,7 @@
 		e.startCheck(d)
 	}
 	for _, x := range d.Expired {
-		e.pool.Log.Warn("core_lease_expired", "core", e.ID, "reason", x.Reason, "calls", len(x.Calls), "silent", x.Silent)
+		e.pool.Log.Warn("core_lease_expired", "core", e.id(), "reason", x.Reason, "calls", len(x.Calls), "silent", x.Silent)
 		if x.Reason == liveness.ReasonSilent {
 			e.closeSilentSince(now.Add(-x.Silent))
 		}
@@ -274,7 +279,7 @@
 
 // close closes a connection of no use. Its reader reports what was open there. The lock is held.
 func (e *endpoint) close(c *connection, why closeReason) {
-	e.pool.Log.Warn("core_connection_dropped", "core", e.ID, "connection", c.id, "reason", string(why), "open", len(c.pending),
+	e.pool.Log.Warn("core_connection_dropped", "core", e.id(), "connection", c.id, "reason", string(why), "open", len(c.pending),
 		"silent", time.Since(c.lastMessage))
 	e.remove(c, liveness.EndLocal) // nothing more is sent there
 	c.Close()
@@ -345,7 +350,7 @@
 	e.pool.mu.Lock()
 	defer e.pool.mu.Unlock()
 	if _, open := e.connections[c]; open {
-		e.pool.Log.Debug("core_connection_retired", "core", e.ID, "connection", c.id, "next", next.id, "open", len(c.pending))
+		e.pool.Log.Debug("core_connection_retired", "core", e.id(), "connection", c.id, "next", next.id, "open", len(c.pending))
 		next.spare = c.spare
 		c.retire()
 		e.lease.Retired(c.id)
@@ -366,6 +371,6 @@
 		waiting, e.waiting = e.waiting, nil
 	}
 	e.pool.mu.Unlock()
-	e.pool.Log.Debug("core_dial_failed", "core", e.ID, "refused", refused, "waiting", len(waiting), "error", err)
-	e.pool.unreached(e.ID, waiting)
+	e.pool.Log.Debug("core_dial_failed", "core", e.id(), "refused", refused, "waiting", len(waiting), "error", err)
+	e.pool.unreached(e.id(), waiting)
 }
--- a/internal/corelink/pool.go
+++ b/internal/corelink/pool.go
@@ -101,10 +101,19 @@
 	before time.Duration
 }
 
+// takeover is a core that was reached under another's id until the list told of it: it has that core's address.
+type takeover struct {
+	endpoint *endpoint
+	from     brookmux.SwitchID
+	to       Core
+}
+
 // Update takes the whole list of the cores that run. Calls on a core that is no longer there are over, and
-// those that were sent to one before it started again.
+// those that were sent to one before it started again. Those that were sent to another core's address after this core
+// started there are this core's.
 func (p *Pool) Update(cores []Core) {
 	p.mu.Lock()
+	taken := p.takeovers(cores)
 	dead := p.dropUnlisted(cores)
 	for _, c := range cores {
 		dead = append(dead, p.update(c)...)
@@ -113,6 +122,37 @@
 	for _, d := range dead {
 		p.events.Lost(d.id, nil, core.Loss{Cut: true, Before: d.before, Outcome: lost})
 	}
+	for _, t := range taken {
+		p.events.Lost(t.from, nil, core.Loss{Cut: true, Before: t.to.Since, Outcome: lost})
+		p.events.Moved(t.from, t.to.ID)
+		t.endpoint.listedAs.Store(uint32(t.to.ID)) // after the engine has it: what comes until then has the old id
+	}
+}
+
+// takeovers hands the endpoints of cores that are gone to those that have started at their addresses since. The lock is
+// held.
+func (p *Pool) takeovers(cores []Core) (taken []takeover) {
+	listed := map[brookmux.SwitchID]bool{}
+	for _, c := range cores {
+		listed[c.ID] = true
+	}
+	for _, c := range cores {
+		if p.endpoints[c.ID] != nil || c.Since <= 0 {
+			continue
+		}
+		for id, e := range p.endpoints {
+			if listed[id] || e.Addr != c.Addr {
+				continue
+			}
+			e.restarted(c.Since)
+			e.Since, e.Draining = c.Since, c.Draining
+			delete(p.endpoints, id)
+			p.endpoints[c.ID] = e
+			taken = append(taken, takeover{e, id, c})
+			break
+		}
+	}
+	return taken
 }
 
 // dropUnlisted drops the cores that are not listed, or whose address is another's by now: what is connected there is
@@ -181,6 +221,7 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	e := &endpoint{Core: c, pool: p, ctx: ctx, cancel: cancel, wake: make(chan struct{}, p.Connections),
 		connections: map[*connection]struct{}{}, lease: liveness.New()}
+	e.listedAs.Store(uint32(c.ID))
 	p.endpoints[c.ID] = e
 	for range p.Connections {
 		p.keepers.Go(func() { e.run(ctx) })
--- a/internal/faulttrial/caller.go
+++ b/internal/faulttrial/caller.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -48,6 +49,7 @@
 	closed  bool
 	paused  bool // the front has taken the controller out: no new connections
 	stopped bool // nothing more is sent
+	over    bool // Run ends
 	number  int  // of the last connection
 	wait    sync.WaitGroup
 }
@@ -58,6 +60,7 @@
 	write   sync.Mutex
 	lastUse time.Time
 	ended   bool
+	muted   atomic.Bool // nothing that comes is read
 }
 
 type callerCall struct {
@@ -87,7 +90,7 @@
 		next = next.Add(gap)
 		time.Sleep(time.Until(next))
 		c.mu.Lock()
-		over, stopped := c.closed || c.record.Now() > c.behaviour.StopAt, c.stopped
+		over, stopped := c.closed || c.over || c.record.Now() > c.behaviour.StopAt, c.stopped
 		c.mu.Unlock()
 		if over {
 			return
@@ -119,6 +122,37 @@
 	c.stopped = on
 }
 
+// Finish ends Run; connections stay while calls are on them.
+func (c *Callers) Finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.over = true
+}
+
+// Mute cuts one of the connections without a sign: what the controller sends on it is not read any more.
+func (c *Callers) Mute() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, x := range c.conns {
+		if !c.hasOpen(x) && len(c.conns) > 1 {
+			c.record.Add(Event{Kind: Fault, Controller: c.controller, Connection: x.number, Text: "connection cut without a sign"})
+			x.muted.Store(true)
+			c.remove(x)
+			return
+		}
+	}
+}
+
+// hasOpen tells whether a set-up on a connection is not answered. The lock is held.
+func (c *Callers) hasOpen(x *callerConn) bool {
+	for _, call := range c.open {
+		if call.conn == x && !call.answered {
+			return true
+		}
+	}
+	return false
+}
+
 // Close ends all connections.
 func (c *Callers) Close() {
 	c.mu.Lock()
@@ -350,6 +384,9 @@
 		if err != nil {
 			break
 		}
+		if x.muted.Load() {
+			continue
+		}
 		c.take(x, m)
 	}
 	c.ended(x)
@@ -359,6 +396,9 @@
 func (c *Callers) idle(x *callerConn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if x.muted.Load() {
+		return false
+	}
 	for _, call := range c.open {
 		if call.conn == x {
 			return false
--- a/internal/faulttrial/core.go
+++ b/internal/faulttrial/core.go
@@ -588,6 +588,16 @@
 	}
 }
 
+// SetLateUp has new connections be served so much later.
+func (c *CoreProcess) SetLateUp(late time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.record.Add(Event{Kind: Fault, Core: c.ID, Text: fmt.Sprintf("connections come up %v late", late)})
+	for _, w := range c.ways {
+		w.lateUp = late
+	}
+}
+
 // setBacklog changes the length of a listener's accept queue.
 func setBacklog(l *net.TCPListener, n int) {
 	raw, err := l.SyscallConn()
--- a/internal/faulttrial/discovery.go
+++ b/internal/faulttrial/discovery.go
@@ -118,8 +118,11 @@
 // Move gives a controller another address to ask at; the old one answers no more.
 func (d *Discovery) Move(controller string) error {
 	d.mu.Lock()
-	old := d.sockets[controller]
+	old, refused := d.sockets[controller], d.mode == Refused
 	d.mu.Unlock()
+	if refused {
+		return nil // nothing listens anywhere
+	}
 	if err := d.listen(controller, "127.0.0.1:0"); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/faulttrial/run.go
@@ -0,0 +1,349 @@
+package faulttrial
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	newConnectionsFor = 300 * time.Millisecond // after SIGTERM, callers open new connections for so long
+	reloadGap         = 300 * time.Millisecond // between configurations in quick succession
+	measureInterval   = 500 * time.Millisecond
+	settleAfter       = 11 * time.Second // after the last fault: a call's end is due within 8 s, and discovery is heard
+	lagInterval       = 5 * time.Millisecond
+	coreCapacity      = 60 // set-ups a second that a warm core bears, for the rule on cold cores
+)
+
+// Trial is a plan that was played, with what its records show.
+type Trial struct {
+	Plan    Plan
+	Verdict Verdict
+	Events  []Event
+	Lag     time.Duration // how late the trial's own timers were at most
+	Dir     string        // holds logs and records
+}
+
+// player plays a plan.
+type player struct {
+	Plan
+	lab      *Lab
+	wait     sync.WaitGroup
+	stop     chan struct{}
+	stopping sync.Once
+
+	mu       sync.Mutex
+	faulty   map[int]bool // exchanges with a fault under way: another has to wait for its end
+	starting map[int]bool // controllers that are being restarted
+	modes    int          // faults of discovery under way
+	lag      time.Duration
+	failure  error
+}
+
+// Run plays a plan against a program, with its files under a folder.
+func Run(p Plan, program, dir string, stop <-chan struct{}) (Trial, error) {
+	t := Trial{Plan: p, Dir: dir}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return t, fmt.Errorf("faulttrial: %w", err)
+	}
+	lab, err := NewLab(LabConfig{Program: program, Dir: dir, Seed: p.Seed, Controllers: p.Controllers, Cores: p.Cores,
+		Circuits: p.Circuits, Settings: p.Settings, Core: p.Core, Callers: p.shifted()})
+	if err != nil {
+		return t, err
+	}
+	defer lab.Close()
+	x := &player{Plan: p, lab: lab, stop: make(chan struct{}), faulty: map[int]bool{}, starting: map[int]bool{}}
+	x.play(stop)
+	t.Events, t.Lag = lab.Record.Events(), x.lag
+	t.Verdict = Check(t.Events, CheckConfig{Settings: p.Settings, Capacity: coreCapacity, Lag: t.Lag})
+	return t, x.failure
+}
+
+// shifted are the callers' figures with times from the trial's own start, which the start of processes delays.
+func (p Plan) shifted() CallerBehaviour {
+	c := p.Callers
+	c.StopAt = time.Hour // the player ends them
+	return c
+}
+
+// play carries the steps out, and returns once all calls had time to end.
+func (x *player) play(stop <-chan struct{}) {
+	began := time.Now()
+	go x.watchLag()
+	go x.measure()
+	for i := range x.Controllers {
+		x.wait.Go(x.lab.Callers(i).Run)
+	}
+	var steps sync.WaitGroup
+	for _, s := range x.Steps {
+		steps.Go(func() {
+			select {
+			case <-time.After(time.Until(began.Add(s.At))):
+				x.carryOut(s)
+			case <-stop:
+			}
+		})
+	}
+	sleep(time.Until(began.Add(x.Length)), stop)
+	for i := range x.Controllers {
+		x.lab.Callers(i).Finish()
+	}
+	steps.Wait()
+	sleep(settleAfter, stop)
+	x.lab.Record.Add(Event{Kind: TrialEnd})
+	close(x.stop)
+}
+
+func sleep(d time.Duration, stop <-chan struct{}) {
+	select {
+	case <-time.After(d):
+	case <-stop:
+	}
+}
+
+// watchLag measures how late timers are on this machine.
+func (x *player) watchLag() {
+	for {
+		before := time.Now()
+		select {
+		case <-x.stop:
+			return
+		case <-time.After(lagInterval):
+		}
+		late := time.Since(before) - lagInterval
+		x.mu.Lock()
+		x.lag = max(x.lag, late)
+		x.mu.Unlock()
+	}
+}
+
+func (x *player) measure() {
+	for {
+		select {
+		case <-x.stop:
+			return
+		case <-time.After(measureInterval):
+		}
+		for i := range x.Controllers {
+			x.lab.Controller(i).Measure()
+		}
+	}
+}
+
+// fail keeps the first error of a fault's own making.
+func (x *player) fail(err error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if err != nil && x.failure == nil {
+		x.failure = err
+	}
+}
+
+// claim takes an exchange or a controller for a fault; false if another fault has it.
+func (x *player) claim(taken map[int]bool, n int) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if taken[n] {
+		return false
+	}
+	taken[n] = true
+	return true
+}
+
+func (x *player) release(taken map[int]bool, n int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(taken, n)
+}
+
+// carryOut plays a step to its end.
+func (x *player) carryOut(s Step) {
+	x.lab.Record.Add(Event{Kind: Fault, Text: "step: " + s.String()})
+	switch s.Kind {
+	case FaultHang, FaultCutOff, FaultVanish, FaultTakeover, FaultCrashRestart, FaultCrashReplace, FaultDrainReplace:
+		if x.claim(x.faulty, s.Core) {
+			x.fail(x.coreFault(s))
+			x.release(x.faulty, s.Core)
+		}
+	case FaultForget, FaultReset, FaultClose:
+		x.lab.Core(s.Core).Disturb(string(s.Kind))
+	case FaultLateUp:
+		core := x.lab.Core(s.Core)
+		core.SetLateUp(s.Delay)
+		time.Sleep(s.For)
+		core.SetLateUp(0)
+	case FaultDiscovery:
+		x.discoveryFault(s)
+	case FaultRestart, FaultKill:
+		x.restart(s.Controller, s.Kind == FaultRestart)
+	case FaultRestartSeries:
+		x.restartSeries()
+	case FaultReload, FaultReloadBad:
+		x.reload(s)
+	case FaultCrowd:
+		end := x.lab.Callers(s.Controller).Crowd(s.Count)
+		time.Sleep(s.For)
+		end()
+	case FaultBurst:
+		x.lab.Callers(s.Controller).Burst(s.Count)
+	case FaultBadClients:
+		x.lab.Callers(s.Controller).Misbehave(s.Count)
+	case FaultMute:
+		x.lab.Callers(s.Controller).Mute()
+	}
+}
+
+func (x *player) coreFault(s Step) error {
+	core := x.lab.Core(s.Core)
+	switch s.Kind {
+	case FaultHang:
+		core.Hang()
+		time.Sleep(s.For)
+		core.Return()
+	case FaultCutOff:
+		core.CutOff()
+		time.Sleep(s.For)
+		core.Return()
+	case FaultVanish:
+		core.Vanish()
+		time.Sleep(s.For)
+		x.lab.Discovery.Set(Member{ID: core.ID, State: Gone})
+	case FaultTakeover:
+		core.Vanish()
+		return x.replace(s, false)
+	case FaultCrashRestart:
+		core.Crash()
+		return x.replace(s, true)
+	case FaultCrashReplace:
+		core.Crash()
+		return x.replace(s, false)
+	case FaultDrainReplace:
+		x.lab.Discovery.Set(Member{ID: core.ID, Number: s.Core, State: Draining, Addresses: core.Addresses()})
+		time.Sleep(s.For)
+		core.Crash()
+		s.For, s.Delay = 50*time.Millisecond, 200*time.Millisecond
+		return x.replace(s, false)
+	}
+	return nil
+}
+
+// replace starts another process in a core's place, and has the list say so.
+func (x *player) replace(s Step, sameID bool) error {
+	time.Sleep(s.For)
+	started := time.Now()
+	if err := x.lab.Replace(s.Core, sameID); err != nil {
+		return err
+	}
+	time.Sleep(s.Delay)
+	x.lab.Announce(s.Core, started)
+	return nil
+}
+
+// discoveryFault has discovery faulty for a while, unless it is already.
+func (x *player) discoveryFault(s Step) {
+	x.mu.Lock()
+	taken := x.modes > 0
+	if !taken {
+		x.modes++
+	}
+	x.mu.Unlock()
+	if taken {
+		return
+	}
+	x.fail(x.lab.Discovery.SetMode(s.Mode, s.Delay))
+	time.Sleep(s.For)
+	x.fail(x.lab.Discovery.SetMode(Prompt, 0))
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.modes--
+}
+
+// killAfter is the time from SIGTERM to the earliest SIGKILL.
+func (p Plan) killAfter() time.Duration {
+	return min(p.Settings.LongestDeadline(), shutdownCounts) + shutdownMargin
+}
+
+// restart ends a controller and starts it again. Callers go on using open connections until the kill, and come again at
+// once after the start.
+func (x *player) restart(i int, planned bool) {
+	if !x.claim(x.starting, i) {
+		return
+	}
+	defer x.release(x.starting, i)
+	controller, callers := x.lab.Controller(i), x.lab.Callers(i)
+	if planned {
+		controller.Signal(syscall.SIGTERM)
+		time.AfterFunc(newConnectionsFor, func() { callers.Pause(true) })
+		select {
+		case <-time.After(x.killAfter()):
+		case <-controller.Exited():
+		}
+	}
+	controller.Kill()
+	callers.Pause(true)
+	x.fail(controller.Start(readyWithin))
+	callers.Pause(false)
+}
+
+func (x *player) restartSeries() {
+	var all sync.WaitGroup
+	for i := range x.Controllers {
+		all.Go(func() { x.restart(i, true) })
+		time.Sleep(x.killAfter() / 2)
+	}
+	all.Wait()
+}
+
+// reload gives a controller new configurations in quick succession, each with another address of discovery.
+func (x *player) reload(s Step) {
+	if !x.claim(x.starting, s.Controller) {
+		return
+	}
+	defer x.release(x.starting, s.Controller)
+	controller := x.lab.Controller(s.Controller)
+	if s.Kind == FaultReloadBad {
+		x.fail(controller.WriteConfig(true))
+		controller.Signal(syscall.SIGHUP)
+		time.Sleep(reloadGap)
+		x.fail(controller.WriteConfig(false))
+		return
+	}
+	for range s.Count {
+		x.fail(x.lab.Discovery.Move(controller.Name))
+		x.fail(controller.WriteConfig(false))
+		controller.Signal(syscall.SIGHUP)
+		time.Sleep(reloadGap)
+	}
+}
+
+// Save writes the plan, the events and the findings to the trial's folder.
+func (t Trial) Save() error {
+	record, err := os.Create(filepath.Join(t.Dir, "events.jsonl"))
+	if err != nil {
+		return fmt.Errorf("faulttrial: %w", err)
+	}
+	defer record.Close()
+	r := &Recorder{events: t.Events}
+	if _, err := r.WriteTo(record); err != nil {
+		return err
+	}
+	findings, err := os.Create(filepath.Join(t.Dir, "findings.txt"))
+	if err != nil {
+		return fmt.Errorf("faulttrial: %w", err)
+	}
+	defer findings.Close()
+	for _, f := range t.Verdict.Findings {
+		fmt.Fprintln(findings, f)
+		for _, e := range f.Lines {
+			fmt.Fprintf(findings, "    %8.3f %s call=%s controller=%s core=%s connection=%d status=%d cause=%d %s\n", e.At.Seconds(), e.Kind, e.Call,
+				e.Controller, e.Core, e.Connection, e.Status, e.Cause, e.Text)
+		}
+	}
+	for _, s := range t.Plan.Steps {
+		fmt.Fprintln(findings, "plan:", s)
+	}
+	return nil
+}
--- a/internal/sipfront/conn.go
+++ b/internal/sipfront/conn.go
@@ -39,6 +39,7 @@
 	last   atomic.Int64 // Unix nanoseconds of the last message
 	faults atomic.Int32 // messages at fault since the last good one
 	heard  atomic.Bool  // a whole message has come
+	called atomic.Bool  // one that is not a test: whoever only tests may read nothing else
 	proved atomic.Bool  // a set-up that came on it stood
 
 	standing atomic.Int32 // calls that stand whose set-up came on it; changed under the front's lock
@@ -168,8 +169,9 @@
 		c.heard.Store(true)
 		return nil
 	}
-	if !c.heard.Swap(true) {
-		c.front.open(c)
+	c.heard.Store(true)
+	if m.method != "OPTIONS" && !c.called.Swap(true) {
+		defer c.front.open(c)
 	}
 	switch {
 	case m.id() == "" || m.header.Get("Cseq") == "":
--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -150,8 +150,8 @@
 	return true
 }
 
-// open takes a connection's first message: releases that waited for a connection go out on it. Not before: one
-// that says nothing may never read them.
+// open takes a connection's first message that is not a test: releases that waited for a connection go out on it. Not
+// before: one that says nothing, or only tests, may never read them.
 func (f *Front) open(c *conn) {
 	f.mu.Lock()
 	unsent := f.unsent
@@ -293,7 +293,7 @@
 	defer f.mu.Unlock()
 	var others []*conn
 	for c := range f.conns {
-		if c != than && c.heard.Load() {
+		if c != than && c.called.Load() {
 			others = append(others, c)
 		}
 	}
--- a/internal/sipfront/retell_test.go
+++ b/internal/sipfront/retell_test.go
@@ -31,6 +31,7 @@
 			end, far := net.Pipe()
 			near := half{end}
 			f.take(near)
+			fmt.Fprintf(far, "ACK sip:ping@net SIP/2.0\r\nCall-ID: %016x\r\nCSeq: 1 ACK\r\nContent-Length: 0\r\n\r\n", key)
 			fmt.Fprintf(far, options, key)
 			r := bufio.NewReader(far)
 			for line := ""; line != "\r\n"; {
