Another process at the address is told by circuits that no set-up of ours explains

Change: the audit of a group's state leaves out what was set up on later processes and open set-ups; a few missing calls of many are lost releases, no other process. While calls stand, a core is dialled every 250 ms at least.

--- a/internal/corelink/connection.go
+++ b/internal/corelink/connection.go
@@ -42,6 +42,7 @@
 	*stream.Writer
 	conn            net.Conn
 	id              liveness.ConnectionID
+	lease           *liveness.Lease // of its core
 	pending         map[string]pendingSetUp
 	connectedAt     time.Time
 	lastMessage     time.Time
@@ -90,6 +91,7 @@
 // sendSetUp writes a set-up. If the connection is over, its reader reports it lost with all others.
 func (c *connection) sendSetUp(a core.Attempt, now time.Time) {
 	c.pending[a.Key] = pendingSetUp{a.Width}
+	c.lease.SetUpSent(a.Key, a.Width)
 	c.send(setUpLine(a), now)
 }
 
@@ -107,6 +109,7 @@
 	p, own := c.pending[key]
 	if own {
 		delete(c.pending, key)
+		c.lease.SetUpOver(key)
 		c.closeRetired()
 	}
 	return p, own
@@ -141,7 +144,7 @@
 // connected takes a new connection into use and starts its reader. It returns nil where the endpoint is over.
 func (e *endpoint) connected(ctx context.Context, conn net.Conn) *connection {
 	now := time.Now()
-	c := &connection{Writer: stream.NewWriter(conn), conn: conn, pending: map[string]pendingSetUp{}, connectedAt: now,
+	c := &connection{Writer: stream.NewWriter(conn), conn: conn, lease: e.lease, pending: map[string]pendingSetUp{}, connectedAt: now,
 		lastMessage: now, check: make(chan struct{}, 1), done: make(chan struct{})}
 	e.pool.mu.Lock()
 	defer e.pool.mu.Unlock()
@@ -181,6 +184,7 @@
 	open := make([]string, 0, len(c.pending))
 	for k := range c.pending {
 		open = append(open, k)
+		e.lease.SetUpOver(k)
 	}
 	unconfirmed := c.unconfirmed
 	c.unconfirmed = nil
--- a/internal/corelink/endpoint.go
+++ b/internal/corelink/endpoint.go
@@ -16,14 +16,15 @@
 const (
 	redialMin       = 100 * time.Millisecond // between two tries to reach a core without a call for it
 	redialMax       = time.Second
-	maxExtra        = 2                // connections that are opened to check a core beyond the usual ones
-	checkTimeout    = time.Second      // a connection that is opened to check a core comes up in this time at most
-	maxReleases     = 1024             // releases kept for a core's next connection
-	releaseLifetime = 60 * time.Second // and how long
+	redialCalls     = 250 * time.Millisecond // the same while calls stand there
+	maxExtra        = 2                      // connections that are opened to check a core beyond the usual ones
+	checkTimeout    = time.Second            // a connection that is opened to check a core comes up in this time at most
+	maxReleases     = 1024                   // releases kept for a core's next connection
+	releaseLifetime = 60 * time.Second       // and how long
 
 	watchInterval = 50 * time.Millisecond
 	staleAfter    = 300 * time.Millisecond // a connection this far behind the others of its core is of no use
-	staleStates   = 3                      // if at least so many states came on those meanwhile
+	staleStates   = 3                      // if at least so many states came on those meanwhile, or a half more than there are of them
 	silentAfter   = 800 * time.Millisecond // nothing after something was sent, and nothing on the others either
 )
 
@@ -144,7 +145,7 @@
 func (e *endpoint) closeStalled(now time.Time) {
 	var quietest *connection
 	for c := range e.connections {
-		if now.Sub(c.lastMessage) > staleAfter && e.statesSeen-c.statesSeen >= staleStates {
+		if now.Sub(c.lastMessage) > staleAfter && e.statesSeen-c.statesSeen >= e.staleStates() {
 			e.close(c, closeStale)
 		} else if !c.unansweredSince.IsZero() && now.Sub(c.unansweredSince) > silentAfter &&
 			(quietest == nil || c.lastMessage.Before(quietest.lastMessage)) {
@@ -166,6 +167,9 @@
 	e.close(quietest, closeSilent)
 }
 
+// staleStates is how many states have to come on the other connections for one without to be stale. The lock is held.
+func (e *endpoint) staleStates() int { return max(staleStates, (3*(len(e.connections)-1)+1)/2) }
+
 // renewLease carries out what the lease asks for, and returns the calls that are over. The lock is held.
 func (e *endpoint) renewLease(now time.Time) []liveness.Expiry {
 	d := e.lease.Tick(e.pool.clock(now))
@@ -314,11 +318,22 @@
 		case <-e.wake:
 		case <-ctx.Done():
 		}
-		pause = min(2*pause, redialMax)
+		pause = min(2*pause, e.maxPause())
 	}
 	e.dialFailed(ctx.Err())
 }
 
+// maxPause is the most time between two dials. While calls stand, a core that is back is reached soon: the ends of its
+// calls are due within a second.
+func (e *endpoint) maxPause() time.Duration {
+	e.pool.mu.Lock()
+	defer e.pool.mu.Unlock()
+	if e.lease.Calls() > 0 {
+		return redialCalls
+	}
+	return redialMax
+}
+
 // keep returns when a connection is over. Where a check asks for it, another takes its place before.
 func (e *endpoint) keep(ctx context.Context, c *connection) {
 	for c != nil {
--- a/internal/liveness/lease.go
+++ b/internal/liveness/lease.go
@@ -8,6 +8,7 @@
 package liveness
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -29,6 +30,8 @@
 	settled = time.Second
 	// refusedFor is how long dials have to be refused until a process that closed its connections is taken for dead.
 	refusedFor = time.Second
+	// lostShare is the share of a process's calls that may be missing from its states.
+	lostShare = 0.25
 	// distrustAfter is how long a state may contradict the calls of a process that is alive before states count no
 	// more.
 	distrustAfter = 2 * time.Second
@@ -116,22 +119,25 @@
 // denial is a state of a later process in which circuits were free that an earlier one's calls would take.
 type denial struct {
 	at   time.Duration
-	used float64
+	room float64 // circuits in use beside those of the later one's own calls
 }
 
 // Lease is the state of one core. The zero value is not usable; use New.
 type Lease struct {
 	processes    []*process // by the time of their first connection; the last is at the address now
 	connections  map[ConnectionID]*connection
-	greets       bool // new connections begin with the group's state
-	truthful     bool // states were seen to count the calls that stand
-	distrusted   bool // states were seen not to
+	pending      map[string]float64 // width of the set-ups that are open
+	greets       bool               // new connections begin with the group's state
+	truthful     bool               // states were seen to count the calls that stand
+	distrusted   bool               // states were seen not to
 	checkedAt    time.Duration
 	refusedSince time.Duration // 0 while dials are not refused
 }
 
 // New returns a Lease of a core without connections or calls.
-func New() *Lease { return &Lease{connections: map[ConnectionID]*connection{}} }
+func New() *Lease {
+	return &Lease{connections: map[ConnectionID]*connection{}, pending: map[string]float64{}}
+}
 
 // Connected reports a new connection.
 func (l *Lease) Connected(id ConnectionID, now time.Duration) {
@@ -236,22 +242,43 @@
 	if !l.counts() {
 		return
 	}
-	for _, p := range slices.Clone(l.processes) {
-		if p == by {
-			return
-		}
+	for _, p := range slices.Backward(slices.Clone(l.processes[:slices.Index(l.processes, by)])) {
 		width := p.width(now - settled)
 		switch {
 		case width == 0:
-		case by.used < width && p.denied == nil:
-			p.denied = &denial{at: now, used: by.used}
-		case by.used >= width+by.width(now) && now-by.heardAt <= ProofWithin:
+		case by.used-by.width(now-settled) < required(width):
+			if p.denied == nil {
+				p.denied = &denial{at: now, room: by.used - by.width(now-settled)}
+			}
+		case by.used >= required(width)+l.widthAfter(p, now) && now-by.heardAt <= ProofWithin:
 			l.merge(p, by)
-			return
+			by = p // has the states and the calls of both
 		}
 	}
 }
 
+// required is how many circuits have to be in use for calls of a width to stand. Of many calls a few may have ended and
+// their releases been lost: that is no sign of another process.
+func required(width float64) float64 { return width - math.Floor(width*lostShare) }
+
+// SetUpSent reports that a set-up is open on a connection; it takes circuits from then on.
+func (l *Lease) SetUpSent(id string, width float64) { l.pending[id] = max(1, width) }
+
+// SetUpOver reports that a set-up is open no more.
+func (l *Lease) SetUpOver(id string) { delete(l.pending, id) }
+
+// widthAfter is how many circuits may be taken by what was set up on later processes than one.
+func (l *Lease) widthAfter(p *process, now time.Duration) float64 {
+	sum := 0.0
+	for _, later := range l.after(p) {
+		sum += later.width(now)
+	}
+	for _, width := range l.pending {
+		sum += width
+	}
+	return sum
+}
+
 // width is how many circuits the calls take that stood before a time.
 func (p *process) width(before time.Duration) float64 {
 	sum := 0.0
@@ -397,7 +424,7 @@
 	switch {
 	case refused && (!p.closed || now-l.refusedSince >= refusedFor):
 		return ReasonRefused
-	case p.denied != nil && now-p.denied.at >= ProofWithin && p.width(p.denied.at-settled) > p.denied.used:
+	case p.denied != nil && now-p.denied.at >= ProofWithin && required(p.width(p.denied.at-settled)) > p.denied.room:
 		return ReasonReplaced
 	case now-p.aliveAt >= Length:
 		return ReasonSilent
--- a/internal/liveness/lease_test.go
+++ b/internal/liveness/lease_test.go
@@ -314,3 +314,39 @@
 	c.pass(20 * time.Second)
 	require.Empty(t, c.expired)
 }
+
+// TestAddressTakenWithSetUps: circuits that open set-ups take on the process that has the address now are no sign that
+// it has the calls of the one before.
+func TestAddressTakenWithSetUps(t *testing.T) {
+	c := newCore(t)
+	c.vanish()
+	c.pass(2 * time.Second)
+	c.up, c.used = true, 5
+	for i := range 5 {
+		c.lease.SetUpSent(fmt.Sprint("set-up", i), 1)
+	}
+	c.dial()
+	for i := range 5 {
+		c.lease.SetUpOver(fmt.Sprint("set-up", i))
+		c.lease.Stands(fmt.Sprint("later", i), 1, c.next, c.now)
+	}
+	c.lease.Heard(c.next, c.now, c.state())
+	c.pass(5 * time.Second)
+	require.Equal(t, map[string]Reason{"call0": ReasonReplaced, "call1": ReasonReplaced}, c.expired)
+}
+
+// TestReleaseLost: one call of many is missing from the states of a core that is back; the others are kept.
+func TestReleaseLost(t *testing.T) {
+	c := newCore(t)
+	for i := range 6 {
+		c.lease.Stands(fmt.Sprint("more", i), 1, 1, c.now)
+	}
+	c.used = 8
+	c.lease.Heard(1, c.now, c.state())
+	c.pass(2 * time.Second)
+	c.lose(EndReset)
+	c.used = 7
+	c.dial()
+	c.pass(10 * time.Second)
+	require.Empty(t, c.expired)
+}
