--- a/internal/faulttrial/plan.go
+++ b/internal/faulttrial/plan.go
@@ -132,6 +132,9 @@
 	}
 	for range 3 + d.IntN(5) {
 		kind := kinds[d.IntN(len(kinds))]
+		if kind == FaultMute && !p.Callers.Acknowledge {
+			continue // nothing tells a controller of such a cut where releases are not acknowledged
+		}
 		steps = append(steps, drawStep(d, p, kind, d.between(first, max(first, p.Length-2*time.Second))))
 	}
 	if quiet && len(only) == 0 {
--- a/internal/faulttrial/run.go
+++ b/internal/faulttrial/run.go
@@ -57,7 +57,7 @@
 	defer lab.Close()
 	x := &player{Plan: p, lab: lab, stop: make(chan struct{}), faulty: map[int]bool{}, starting: map[int]bool{}}
 	x.play(stop)
-	t.Events, t.Lag = lab.Record.Events(), x.lag
+	t.Events, t.Lag = lab.Record.Events(), x.worstLag()
 	t.Verdict = Check(t.Events, CheckConfig{Settings: p.Settings, Capacity: coreCapacity, Lag: t.Lag})
 	return t, x.failure
 }
@@ -120,6 +120,12 @@
 	}
 }
 
+func (x *player) worstLag() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.lag
+}
+
 func (x *player) measure() {
 	for {
 		select {
--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -221,16 +221,17 @@
 	}
 }
 
-// repeatReleases sends releases again on other connections that were not acknowledged, where callers do so: their own
-// connection may be cut without a sign.
+// repeatReleases sends releases again on other connections that were not acknowledged: their own may be cut without a
+// sign. Where callers acknowledge none, a connection counts as cut that has been silent since while another has not.
 func (f *Front) repeatReleases(now time.Time) {
-	if !f.acknowledged.Load() {
-		return
-	}
+	acknowledged := f.acknowledged.Load()
 	f.mu.Lock()
 	var late []release
 	var from []*conn
 	for c := range f.conns {
+		if !acknowledged && !f.silentAlone(c, now.Add(-repeatAfter)) {
+			continue
+		}
 		for _, r := range c.unacknowledged(now) {
 			late, from = append(late, r), append(from, c)
 		}
@@ -242,6 +243,19 @@
 	}
 }
 
+// silentAlone tells whether a connection has brought nothing since a time, and another has. The lock is held.
+func (f *Front) silentAlone(c *conn, since time.Time) bool {
+	if c.last.Load() > since.UnixNano() {
+		return false
+	}
+	for other := range f.conns {
+		if other != c && other.called.Load() && other.last.Load() > since.UnixNano() {
+			return true
+		}
+	}
+	return false
+}
+
 // closeIdle ends the connections on which nothing is left. A set-up that crosses that is sent again by its caller.
 func (f *Front) closeIdle(now time.Time) {
 	f.mu.Lock()
