--- a/cmd/brookmux/cli_test.go
+++ b/cmd/brookmux/cli_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -141,6 +140,6 @@
 	require.Contains(t, errs, "--key and --hosts are needed")
 	require.NoError(t, os.WriteFile(hosts, nil, 0o600))
 	_, errs = do("get")
-	require.Contains(t, errs, "key is unknown", fmt.Sprint("a host that is not known"))
+	require.Contains(t, errs, "key is unknown", "a host that is not known")
 	s.stop()
 }
--- a/internal/faulttrial/check_test.go
+++ b/internal/faulttrial/check_test.go
@@ -91,7 +91,7 @@
 		"given up by caller":   with(good(), CallerAnswer, Event{At: 1100 * ms, Kind: CallerCancel, Call: "a"}),
 		"killed":               with(good(), CallerAnswer, Event{At: 1200 * ms, Kind: ProcessExit, Controller: "n1", Text: "signal: killed"}),
 		"sent after the end":   with(good(), CallerAnswer, Event{At: 990 * ms, Kind: ProcessExit, Controller: "n1", Text: "0"}),
-		"silent for long":      with(good(), CallerRelease, Event{At: 1100 * ms, Kind: Fault, Core: "s-1", Text: "hang"}, Event{At: 8600 * ms, Kind: CallerRelease, Call: "a", Controller: "n1"}),
+		"silent for long":      with(with(with(good(), CoreEnd), CoreRelease), CallerRelease, Event{At: 1100 * ms, Kind: Fault, Core: "s-1", Text: "hang"}, Event{At: 8600 * ms, Kind: CallerRelease, Call: "a", Controller: "n1"}),
 		"hung up by caller":    with(good(), CallerRelease, Event{At: 2000 * ms, Kind: CallerHangup, Call: "a"}),
 		"discovery is away":    with(good(), "", Event{At: 50 * ms, Kind: DiscoveryFault, Text: "silent 0s"}, Event{At: 100 * ms, Kind: DiscoverySet, Core: "s-9", Text: "draining", Serial: 2}, Event{At: 2700 * ms, Kind: CoreSetup, Call: "d", Core: "s-9", Controller: "n1"}),
 		"told 6 s after":       with(good(), "", Event{At: 50 * ms, Kind: DiscoveryFault, Text: "silent 0s"}, Event{At: 100 * ms, Kind: DiscoverySet, Core: "s-9", Text: "draining", Serial: 2}, Event{At: 2000 * ms, Kind: DiscoveryFault, Text: "prompt 0s"}, Event{At: 8900 * ms, Kind: CoreSetup, Call: "d", Core: "s-9", Controller: "n1"}),
--- a/internal/faulttrial/controller.go
+++ b/internal/faulttrial/controller.go
@@ -1,11 +1,12 @@
 package faulttrial
 
 import (
-	"bytes"
+	"bufio"
 	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/textproto"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -52,7 +53,6 @@
 	names    *Discovery
 	record   *Recorder
 	address  string
-	known    string // the list of the start, kept for restarts
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -168,9 +168,15 @@
 		return false
 	}
 	fmt.Fprint(conn, "OPTIONS sip:ping@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: 00000000000000f0\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n")
-	buf := make([]byte, 64)
-	n, _ := conn.Read(buf) // nothing read is no test passed
-	return bytes.HasPrefix(buf[:n], []byte("SIP/2.0 200"))
+	for r := textproto.NewReader(bufio.NewReader(conn)); ; {
+		m, err := readSIP(r)
+		if err != nil {
+			return false
+		}
+		if m.status > 0 { // releases of an earlier process's calls may come before
+			return m.status == 200
+		}
+	}
 }
 
 // Signal sends a signal to the program.
--- a/internal/faulttrial/lab.go
+++ b/internal/faulttrial/lab.go
@@ -27,7 +27,6 @@
 	cores  map[int]*CoreProcess // the present one of each exchange
 	former []*CoreProcess
 	serial int // of core ids
-	faults sync.WaitGroup
 	closed bool
 }
 
--- a/internal/faulttrial/run.go
+++ b/internal/faulttrial/run.go
@@ -30,10 +30,9 @@
 // player plays a plan.
 type player struct {
 	Plan
-	lab      *Lab
-	wait     sync.WaitGroup
-	stop     chan struct{}
-	stopping sync.Once
+	lab  *Lab
+	wait sync.WaitGroup
+	stop chan struct{}
 
 	mu       sync.Mutex
 	faulty   map[int]bool // exchanges with a fault under way: another has to wait for its end
--- a/internal/m3ua/config.go
+++ b/internal/m3ua/config.go
@@ -23,6 +23,10 @@
 	Links          []Link     `toml:"link"`
 }
 
+// maxSilence is the most milliseconds from an exchange's last word to the end of the calls on it: their callers are owed
+// a release within 8 s.
+const maxSilence = 7500
+
 // Timers are in milliseconds.
 type Timers struct {
 	Beat int `toml:"beat_ms"` // between heartbeats; one that is not acknowledged by the next ends the association
@@ -85,7 +89,7 @@
 		value *int
 		name  string
 		usual int
-	}{{&c.Timers.Beat, "beat_ms", 5000}, {&c.Timers.Ack, "ack_ms", 2000}, {&c.Timers.T1, "t1_ms", 15000},
+	}{{&c.Timers.Beat, "beat_ms", 2000}, {&c.Timers.Ack, "ack_ms", 2000}, {&c.Timers.T1, "t1_ms", 15000},
 		{&c.Timers.Gone, "gone_ms", 3000}} {
 		if *t.value < 0 {
 			return fmt.Errorf("m3ua: configuration: %s is %d", t.name, *t.value)
@@ -93,6 +97,10 @@
 			*t.value = t.usual
 		}
 	}
+	if worst := 2*c.Timers.Beat + c.Timers.Gone; worst > maxSilence {
+		return fmt.Errorf("m3ua: configuration: twice beat_ms and gone_ms make %d ms, at most %d: calls on an exchange that vanished are over then",
+			worst, maxSilence)
+	}
 	if c.PointCode == 0 {
 		return errors.New("m3ua: configuration: point_code is missing")
 	}
--- a/internal/mgmt/schema.go
+++ b/internal/mgmt/schema.go
@@ -159,7 +159,8 @@
 func (s *Schema) fromGNMI(prefix, tail *gnmi.Path) (path, error) {
 	var p path
 	for _, part := range []*gnmi.Path{prefix, tail} {
-		if len(part.GetElement()) > 0 { //nolint:staticcheck // the old form has to be refused by name
+		//lint:ignore SA1019 the form that the protocol has withdrawn has to be refused by name
+		if len(part.GetElement()) > 0 {
 			return nil, errors.New("paths of the old form are not taken")
 		}
 		if o := part.GetOrigin(); o != "" && !s.known(o) {
--- a/internal/storm/callers.go
+++ b/internal/storm/callers.go
@@ -23,8 +23,7 @@
 }
 
 type callers struct {
-	sets    [callerSets][callerWays]entry
-	present int // about how many stay away, for the figures
+	sets [callerSets][callerWays]entry
 }
 
 // find returns a caller's line, or nil.
