--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -84,8 +84,8 @@
 		}
 	}, Settings: conf.settings, Seed: conf.seed, Trunks: links, Log: log,
 		Origin: reader.Origin, Reports: reports, MostBytes: conf.memory / 8,
-		Stray: func(key string, cause core.Cause) { front.Stray(key, cause) },
-		Took:  func() { _ = phase.To(lifecycle.Serving) }, // not ahead when it already drains
+		ReleaseOrphan: func(key string, cause core.Cause) { front.ReleaseOrphan(key, cause) },
+		Took:          func() { _ = phase.To(lifecycle.Serving) }, // not ahead when it already drains
 	})
 	if err != nil {
 		return err
--- a/internal/core/book.go
+++ b/internal/core/accounting.go
@@ -13,13 +13,13 @@
 
 // Counts are totals since the start.
 type Counts struct {
-	Taken, Repeated, Unfit, Full, Withdrawn, CallerLost      int
-	Stood, Refused, Failed                                   int
-	Sent, LateAnswers, Unheard, Ignored, Strays, HungUp, Cut int
-	Results                                                  [8]int // of attempts that did not stand, by brookmux.Result
-	Guards                                                   int
-	Draining                                                 int    // set-ups turned away because the program is about to end
-	Storm                                                    *Storm // nil where storms are not seen
+	Taken, Repeated, Unfit, Full, Withdrawn, CallerLost          int
+	Stood, Refused, Failed                                       int
+	Sent, LateAnswers, Unresolved, Ignored, Orphans, HungUp, Cut int
+	Results                                                      [8]int // of attempts that did not stand, by brookmux.Result
+	Guards                                                       int
+	Draining                                                     int    // set-ups turned away because the program is about to end
+	Storm                                                        *Storm // nil where storms are not seen
 }
 
 // Storm is what there is to tell of storms.
@@ -108,7 +108,7 @@
 	n := e.counts
 	e.Config.Log.Info("counts", "taken", n.Taken, "open", e.open, "table", len(e.calls), "stood", n.Stood,
 		"refused", n.Refused, "failed", n.Failed, "withdrawn", n.Withdrawn, "callers_lost", n.CallerLost,
-		"repeated", n.Repeated, "unfit", n.Unfit, "full", n.Full, "sent", n.Sent, "late_answers", n.LateAnswers, "unheard", n.Unheard, "ignored", n.Ignored, "strays", n.Strays,
+		"repeated", n.Repeated, "unfit", n.Unfit, "full", n.Full, "sent", n.Sent, "late_answers", n.LateAnswers, "unresolved", n.Unresolved, "ignored", n.Ignored, "orphaned_calls", n.Orphans,
 		"cut", n.Cut, "hung_up", n.HungUp, "guards", n.Guards, slog.Group("results",
 			"error", n.Results[brookmux.ResultError], "full", n.Results[brookmux.ResultFull],
 			"timeout", n.Results[brookmux.ResultTimeout], "connect", n.Results[brookmux.ResultConnectFailed],
@@ -121,7 +121,7 @@
 }
 
 // debug logs what came of an attempt.
-func (e *Engine) debug(what string, c *call, l *leg, r brookmux.Report, more ...any) {
+func (e *Engine) debug(what string, c *call, l *attempt, r brookmux.Report, more ...any) {
 	if !e.Config.Log.Enabled(context.Background(), slog.LevelDebug) {
 		return
 	}
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -10,25 +10,25 @@
 // call is a line of the table. It is owed an answer until answered, and stays while it stands.
 type call struct {
 	Request
-	id       brookmux.CallID
-	expires  time.Duration // when its caller stops waiting
-	deadline *timer        // the guard on the final answer
-	sends    int
-	out      *leg          // the attempt that is out, or the one that stands
-	notUntil time.Duration // the wait after a timeout, reset or cancel
-	answered bool
-	size     int64           // that its request counts for while it is owed an answer
-	at       time.Duration   // when it came
-	last     brookmux.Result // of its last attempt
-	caller   uint64          // hash of what the tries of its caller have in common
-	damped   bool            // storm counts it as under way
-	failed   int             // attempts that left and did not stand
+	id             brookmux.CallID
+	expires        time.Duration // when its caller stops waiting
+	deadline       *timer        // the guard on the final answer
+	sends          int
+	out            *attempt      // the attempt that is out, or the one that stands
+	notUntil       time.Duration // the wait after a timeout, reset or cancel
+	answered       bool
+	size           int64           // that its request counts for while it is owed an answer
+	at             time.Duration   // when it came
+	last           brookmux.Result // of its last attempt
+	caller         uint64          // hash of what the tries of its caller have in common
+	countedByStorm bool            // storm counts it as under way
+	failed         int             // attempts that left and did not stand
 
-	adrift []brookmux.SwitchID // where attempts were lost with their connection: they may stand there unheard
+	unresolvedAt []brookmux.SwitchID // where attempts were lost with their connection: they may stand there unresolved
 }
 
-// leg is an attempt.
-type leg struct {
+// attempt is a set-up that was sent.
+type attempt struct {
 	number  int
 	to      brookmux.SwitchID
 	at      time.Duration
@@ -36,10 +36,10 @@
 	stands  bool
 }
 
-// ranUnheard tells whether this is the end of an attempt that was lost with its connection: it stood there, its
+// endedUnresolved tells whether this is the end of an attempt that was lost with its connection: it stood there, its
 // answer was lost too, and it is over. A caller that has its answer from another attempt is on that one.
-func (c *call) ranUnheard(from brookmux.SwitchID, o Outcome) bool {
-	return c != nil && !c.answered && o.Result == brookmux.ResultOK && slices.Contains(c.adrift, from)
+func (c *call) endedUnresolved(from brookmux.SwitchID, o Outcome) bool {
+	return c != nil && !c.answered && o.Result == brookmux.ResultOK && slices.Contains(c.unresolvedAt, from)
 }
 
 // has tells whether the call's open attempt is at this core.
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -32,14 +32,14 @@
 
 // Config is what an Engine is made of.
 type Config struct {
-	Settings settings.Settings
-	Seed     uint64
-	Trunks   Trunks
-	Log      *slog.Logger
-	Origin   time.Time                     // the clock's zero; before any time that is handed in
-	Stray    func(key string, cause Cause) // releases a call that this process did not set up
-	Took     func()                        // called at the first request, may be nil
-	Reports  chan<- Counts                 // gets the totals now and then if it has room, may be nil
+	Settings      settings.Settings
+	Seed          uint64
+	Trunks        Trunks
+	Log           *slog.Logger
+	Origin        time.Time                     // the clock's zero; before any time that is handed in
+	ReleaseOrphan func(key string, cause Cause) // releases a call that this process did not set up
+	Took          func()                        // called at the first request, may be nil
+	Reports       chan<- Counts                 // gets the totals now and then if it has room, may be nil
 
 	Storm     *storm.Storm         // sees storms and damps them, nil for none
 	Changed   func(storm.Change)   // told of each change of a storm's state, may be nil
@@ -64,29 +64,29 @@
 	now     time.Duration // of the event being handled
 	classes map[string]int
 
-	calls     map[string]*call
-	byID      map[brookmux.CallID]*call
-	lastID    brookmux.CallID
-	switches  map[brookmux.SwitchID]brookmux.Switch
-	recent    [2]map[string]struct{}
-	moved     map[brookmux.SwitchID]brookmux.SwitchID // former ids of cores
-	loads     map[int]*load                           // by exchange
-	numbers   map[int]bool                            // of the exchanges that were ever listed
-	told      map[int]Condition                       // how exchanges are, as last told
-	sizes     map[int]float64                         // of the groups toward them, as last told
-	planned   map[int]float64                         // set-ups a second that exchanges are planned to bear, by number
-	open      int                                     // calls that are owed an answer
-	mostBytes atomic.Int64                            // of them, 0 for any number
-	held      atomic.Int64                            // bytes of the requests that are queued or owed an answer
-	strayAt   time.Duration                           // when the last hang-up of an unknown call was paid for
-	after     []func()
-	counts    Counts
-	drained   chan struct{}
-	drainFrom time.Duration // when Drain was called, 0 if it was not
-	started   bool
-	most      int           // calls open at a time, 0 for any number
-	every     time.Duration // between two reports of the totals
-	reporter  *timer
+	calls            map[string]*call
+	byID             map[brookmux.CallID]*call
+	lastID           brookmux.CallID
+	switches         map[brookmux.SwitchID]brookmux.Switch
+	recent           [2]map[string]struct{}
+	moved            map[brookmux.SwitchID]brookmux.SwitchID // former ids of cores
+	loads            map[int]*load                           // by exchange
+	numbers          map[int]bool                            // of the exchanges that were ever listed
+	told             map[int]Condition                       // how exchanges are, as last told
+	sizes            map[int]float64                         // of the groups toward them, as last told
+	planned          map[int]float64                         // set-ups a second that exchanges are planned to bear, by number
+	open             int                                     // calls that are owed an answer
+	mostBytes        atomic.Int64                            // of them, 0 for any number
+	held             atomic.Int64                            // bytes of the requests that are queued or owed an answer
+	orphanReleasedAt time.Duration                           // when the last hang-up of an unknown call was paid for
+	after            []func()
+	counts           Counts
+	drained          chan struct{}
+	drainFrom        time.Duration // when Drain was called, 0 if it was not
+	started          bool
+	most             int           // calls open at a time, 0 for any number
+	every            time.Duration // between two reports of the totals
+	reporter         *timer
 }
 
 // New returns an Engine, or an error that names the setting it can't serve.
--- a/internal/core/takein.go
+++ b/internal/core/intake.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	beside       = 512 // bytes that a request takes beside its description, about
-	strayEvery   = 10 * time.Millisecond
-	strayBurst   = 256 // hang-ups of calls that nobody here knows, passed on at once
-	causeRefused = 111 // protocol error, unspecified
+	beside                = 512 // bytes that a request takes beside its description, about
+	orphanReleaseInterval = 10 * time.Millisecond
+	orphanReleaseBurst    = 256 // hang-ups of calls that nobody here knows, passed on at once
+	causeRefused          = 111 // protocol error, unspecified
 )
 
 // Offer takes a request in: the first stage. It may wait while the queue is full, so that a caller that
@@ -68,7 +68,7 @@
 	e.open++
 	e.counts.Taken++
 	c.deadline = e.in(c.expires-e.now+guardLate, func() { e.overdue(c) })
-	if e.damp(c) {
+	if e.stormAdmits(c) {
 		e.admit(c)
 	}
 	return true
@@ -147,20 +147,20 @@
 			e.leave(c)
 		case c != nil: // not the caller's own, and not yet a call
 			known = false
-		case !known && e.strayAllowed(): // set up by an earlier process of this name
+		case !known && e.orphanReleaseAllowed(): // set up by an earlier process of this name
 			e.Trunks.ReleaseAnywhere(key, cause)
 		}
 		then(known)
 	})
 }
 
-// strayAllowed tells whether one more hang-up of an unknown call may go to every core. Each is a message to all
+// orphanReleaseAllowed tells whether one more hang-up of an unknown call may go to every core. Each is a message to all
 // of them, and anyone can make up ids.
-func (e *Engine) strayAllowed() bool {
-	e.strayAt = max(e.strayAt, e.now-strayBurst*strayEvery)
-	if e.strayAt+strayEvery > e.now {
+func (e *Engine) orphanReleaseAllowed() bool {
+	e.orphanReleasedAt = max(e.orphanReleasedAt, e.now-orphanReleaseBurst*orphanReleaseInterval)
+	if e.orphanReleasedAt+orphanReleaseInterval > e.now {
 		return false
 	}
-	e.strayAt += strayEvery
+	e.orphanReleasedAt += orphanReleaseInterval
 	return true
 }
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -38,16 +38,16 @@
 		c := e.calls[key]
 		switch {
 		case c.has(from) && !o.Elsewhere:
-			e.finishLeg(c, o)
-		case c.ranUnheard(from, o):
+			e.finishAttempt(c, o)
+		case c.endedUnresolved(from, o):
 			e.learn(from, o.Report, false)
 			e.giveUp(c)
 			e.ctl.Left(e.now, c.id)
-			e.overUnheard(c)
-		case c == nil && !e.ended(key) && e.Stray != nil:
+			e.answerUnresolved(c)
+		case c == nil && !e.ended(key) && e.ReleaseOrphan != nil:
 			// Set up by an earlier process of this name: its caller still has to hear that it is over.
-			e.counts.Strays++
-			e.Stray(key, o.Cause)
+			e.counts.Orphans++
+			e.ReleaseOrphan(key, o.Cause)
 			e.remember(key)
 			e.learn(from, o.Report, false)
 		default:
@@ -78,9 +78,9 @@
 					e.Trunks.Release(at, k, l.Outcome.Cause)
 				}
 				if !c.out.stands && !l.Cut && l.Outcome.Result == brookmux.ResultReset {
-					c.adrift = append(c.adrift, at)
+					c.unresolvedAt = append(c.unresolvedAt, at)
 				}
-				e.finishLeg(c, l.Outcome)
+				e.finishAttempt(c, l.Outcome)
 			}
 		}
 	})
@@ -121,15 +121,15 @@
 	e.Config.Log.Debug("ignored", "core", from, "call", key, "what", what)
 }
 
-// finishLeg ends a call's open attempt and tells the module, which may send again or give the final answer.
-func (e *Engine) finishLeg(c *call, o Outcome) {
+// finishAttempt ends a call's open attempt and tells the module, which may send again or give the final answer.
+func (e *Engine) finishAttempt(c *call, o Outcome) {
 	l := c.out
-	unheard := o.Result == brookmux.ResultOK && !l.stands
-	if unheard && l.timeout.at-e.now <= ownTime {
+	unresolved := o.Result == brookmux.ResultOK && !l.stands
+	if unresolved && l.timeout.at-e.now <= ownTime {
 		// A core that gives a set-up up at the end of its time says so with a normal clearing, often just
 		// before our own timer. To the module an end is no end of a call that never stood: it would wait
 		// for ever, and the caller with it.
-		o.Result, unheard = brookmux.ResultTimeout, false
+		o.Result, unresolved = brookmux.ResultTimeout, false
 	}
 	l.timeout.stop()
 	c.out, c.last = nil, o.Result
@@ -148,15 +148,15 @@
 	switch {
 	case l.stands:
 		e.close(c)
-	case unheard:
-		e.overUnheard(c)
+	case unresolved:
+		e.answerUnresolved(c)
 	}
 }
 
-// overUnheard answers a call that stood, whose answer was lost or is late, and that has come to its end. Whatever
+// answerUnresolved answers a call that stood, whose answer was lost or is late, and that has come to its end. Whatever
 // was made of it by another set-up would be a second call under its id: the caller is told now.
-func (e *Engine) overUnheard(c *call) {
-	e.counts.Unheard++
+func (e *Engine) answerUnresolved(c *call) {
+	e.counts.Unresolved++
 	e.refuse(c, Verdict{Failed: !e.harmless(c), Cause: TemporaryFailure, Why: "over before its answer was heard"})
 }
 
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -11,7 +11,7 @@
 	if timeout <= 0 || timeout > c.expires-e.now {
 		timeout = c.expires - e.now
 	}
-	l := &leg{number: number, to: to, at: e.now}
+	l := &attempt{number: number, to: to, at: e.now}
 	c.out = l
 	l.timeout = e.in(timeout, func() { e.timedOut(c, l) })
 	e.counts.Sent++
@@ -21,10 +21,10 @@
 
 // timedOut gives an attempt up that brought no answer in time. Its core is told first: from then on the
 // release wait runs.
-func (e *Engine) timedOut(c *call, l *leg) {
+func (e *Engine) timedOut(c *call, l *attempt) {
 	if c.out != l || l.stands {
 		return
 	}
 	e.Trunks.Release(l.to, c.Key, NormalClearing)
-	e.finishLeg(c, Outcome{Result: brookmux.ResultTimeout, Report: noReport})
+	e.finishAttempt(c, Outcome{Result: brookmux.ResultTimeout, Report: noReport})
 }
--- a/internal/core/damp.go
+++ b/internal/core/storms.go
@@ -28,9 +28,9 @@
 	return c
 }
 
-// damp is the stage between take in and admit: a call that would only make others late is answered now, with
+// stormAdmits is the stage between take in and admit: a call that would only make others late is answered now, with
 // the time after which there is room for its caller. It tells whether the call goes on.
-func (e *Engine) damp(c *call) bool {
+func (e *Engine) stormAdmits(c *call) bool {
 	if e.Storm == nil {
 		return true
 	}
@@ -38,7 +38,7 @@
 	c.caller = group ^ number*31 ^ uint64(e.classes[c.Class])<<32 ^ uint64(c.Destination)
 	v := e.Storm.Offered(e.now, storm.Offer{Class: e.classes[c.Class], Dest: c.Destination, Group: group,
 		Caller: c.caller, Number: number, Resent: c.Resent, Transit: c.Transit})
-	if c.damped = v.Admit(); c.damped {
+	if c.countedByStorm = v.Admit(); c.countedByStorm {
 		return true
 	}
 	e.refuse(c, Verdict{Wait: v.Wait, Cause: Congestion, Level: e.Storm.Level(e.now, c.Destination), Why: v.Reason.String()})
@@ -78,10 +78,10 @@
 
 // stormAnswered tells storm how a call that it let through was answered.
 func (e *Engine) stormAnswered(c *call) {
-	if !c.damped {
+	if !c.countedByStorm {
 		return
 	}
-	c.damped = false
+	c.countedByStorm = false
 	if l := c.out; l != nil && l.stands {
 		e.Storm.Stood(e.now, c.Destination, c.caller, e.now-l.at, e.switches[l.to].Number == c.Destination)
 	} else {
@@ -90,7 +90,7 @@
 }
 
 // stormOutcome tells storm what an attempt that did not stand says of its destination.
-func (e *Engine) stormOutcome(c *call, l *leg, o Outcome) {
+func (e *Engine) stormOutcome(c *call, l *attempt, o Outcome) {
 	if e.Storm == nil || l.stands || o.Result == brookmux.ResultMoot {
 		return
 	}
--- /dev/null
+++ b/internal/playback/discovery.go
@@ -0,0 +1,68 @@
+package playback
+
+import (
+	"bytes"
+	"net"
+	"strconv"
+	"strings"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/net/dns/dnsmessage"
+)
+
+// listenNames opens the name service.
+func (s *stage) listenNames() {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	s.names = conn
+	go s.serveNames(conn)
+}
+
+// list sets the name service's answer.
+func (s *stage) list(serial, lines string) {
+	n, err := strconv.Atoi(serial)
+	require.NoError(s.t, err)
+	class, service := dnsmessage.ClassINET, dnsmessage.MustNewName("_app._tcp.cluster.lan.")
+	m := dnsmessage.Message{Header: dnsmessage.Header{Response: true, Authoritative: true}}
+	m.Questions = []dnsmessage.Question{{Name: service, Type: dnsmessage.TypeSRV, Class: class}}
+	m.Authorities = []dnsmessage.Resource{{Header: dnsmessage.ResourceHeader{Name: service, Class: class},
+		Body: &dnsmessage.SOAResource{NS: service, MBox: service, Serial: uint32(n)}}}
+	for line := range strings.Lines(lines) {
+		f := strings.Fields(line)
+		addr := s.actors[f[0]].listener.Addr().(*net.TCPAddr)
+		host := dnsmessage.MustNewName("s-0000000" + f[0][1:] + ".east.hosts.")
+		priority := uint16(0)
+		if f[1] == "draining" {
+			priority = 1
+		}
+		m.Answers = append(m.Answers, dnsmessage.Resource{Header: dnsmessage.ResourceHeader{Name: service, Class: class},
+			Body: &dnsmessage.SRVResource{Priority: priority, Weight: 10, Port: uint16(addr.Port), Target: host}})
+		m.Additionals = append(m.Additionals, dnsmessage.Resource{Header: dnsmessage.ResourceHeader{Name: host, Class: class},
+			Body: &dnsmessage.AResource{A: [4]byte(addr.IP.To4())}},
+			dnsmessage.Resource{Header: dnsmessage.ResourceHeader{Name: host, Class: class},
+				Body: &dnsmessage.TXTResource{TXT: []string{"kind=std", "cell=" + f[0][1:], "started=0"}}})
+	}
+	packet, err := m.Pack()
+	require.NoError(s.t, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer = packet
+}
+
+// serveNames answers the program's questions once there is a list to answer with.
+func (s *stage) serveNames(conn net.PacketConn) {
+	buf := make([]byte, 512)
+	for {
+		n, from, err := conn.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		b := bytes.Clone(s.answer)
+		s.mu.Unlock()
+		if n >= 2 && b != nil {
+			copy(b, buf[:2])
+			_, _ = conn.WriteTo(b, from) // the program may have ended
+		}
+	}
+}
--- a/internal/playback/playback.go
+++ b/internal/playback/playback.go
@@ -29,9 +29,6 @@
 package playback
 
 import (
-	"bufio"
-	"bytes"
-	"context"
 	"encoding/hex"
 	"fmt"
 	"io"
@@ -40,7 +37,6 @@
 	"path/filepath"
 	"regexp"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -49,7 +45,6 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fastjson"
-	"golang.org/x/net/dns/dnsmessage"
 )
 
 const patience = 20 * time.Second // for anything to arrive: only a failure takes so long
@@ -98,32 +93,6 @@
 	tls       *authority // nil where gNMI goes in the clear
 }
 
-// actor is one end of what the program speaks with.
-type actor struct {
-	name, addr string
-	listener   net.Listener // of a core or an exchange
-	conns      chan net.Conn
-	conn       net.Conn
-	r          *bufio.Reader
-
-	// Of a core, to which the program has several connections:
-	lines  chan line           // what they bring
-	calls  map[string]net.Conn // the one that brought a call's set-up
-	ended  map[net.Conn]bool
-	stands map[string]bool // calls that it has answered
-	closed chan struct{}   // when nothing more is accepted
-	all    []net.Conn      // complete then
-
-	following sync.WaitGroup
-}
-
-// line is what a core's connection brought, or the end of the connection.
-type line struct {
-	text []byte
-	err  error
-	conn net.Conn
-}
-
 // play runs one file.
 func play(t *testing.T, text string, start Program) {
 	head, rest, ok := strings.Cut(text, "\n== ")
@@ -205,14 +174,6 @@
 // stop tells the program to end.
 func (s *stage) stop() { s.process.Signal(syscall.SIGTERM) }
 
-// listenNames opens the name service.
-func (s *stage) listenNames() {
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	require.NoError(s.t, err)
-	s.names = conn
-	go s.serveNames(conn)
-}
-
 // rewrite replaces text in the program's configuration file.
 func (s *stage) rewrite(old, new string) {
 	text, err := os.ReadFile(s.env["GW_CONFIG"])
@@ -245,17 +206,6 @@
 	return a
 }
 
-// follow reads one of a core's connections to its end: the program may have several, and uses any of them.
-func (a *actor) follow(c net.Conn) {
-	for r := bufio.NewReaderSize(c, 1<<16); ; {
-		b, err := r.ReadBytes('\n')
-		if a.lines <- (line{b, err, c}); err != nil {
-			c.Close() // as any server does when its client has closed
-			return
-		}
-	}
-}
-
 // step plays one step.
 func (s *stage) step(words []string, payload string) {
 	name, verb := words[0], strings.Join(words[1:], " ")
@@ -362,193 +312,6 @@
 	return s.actors[name]
 }
 
-// connect opens the actor's connection, or takes the program's next one.
-func (a *actor) connect(s *stage) {
-	if a.conn != nil {
-		return
-	}
-	if a.listener != nil {
-		for a.conn == nil || a.ended[a.conn] {
-			select {
-			case a.conn = <-a.conns:
-			case <-time.After(patience):
-				require.Fail(s.t, "no connection", "%s\n%s", a.name, s.log)
-			}
-		}
-	} else {
-		front := "sip listens"
-		if a.name[0] == 'p' {
-			front = "m3ua listens"
-		}
-		var err error
-		a.conn, err = net.Dial("tcp", s.log.address(s.t, front))
-		require.NoError(s.t, err)
-	}
-	a.r = bufio.NewReaderSize(a.conn, 1<<16)
-}
-
-func (a *actor) hex() bool { return a.name[0] == 'p' || a.name[0] == 'x' }
-
-// beat tells whether a message is a BEAT (RFC 4666, 3.5.5).
-func beat(b []byte) bool { return len(b) > 3 && b[2] == 3 && b[3] == 3 }
-
-// readLine reads a core's next message, from whichever connection, or the end of the present one.
-func (a *actor) readLine(closing bool) ([]byte, error) {
-	for {
-		select {
-		case l := <-a.lines:
-			if l.err == nil {
-				a.conn = l.conn
-				a.calls[jsonID(l.text)] = l.conn
-				return l.text, nil
-			}
-			// One that carries no call may end at any time, as one that the program found to be of no use.
-			if a.ended[l.conn] = true; l.conn == a.conn && (closing || a.carries(l.conn)) {
-				return nil, l.err
-			}
-		case <-time.After(patience):
-			return nil, os.ErrDeadlineExceeded
-		}
-	}
-}
-
-// carries tells whether a set-up that a connection brought is not answered yet.
-func (a *actor) carries(conn net.Conn) bool {
-	for k, c := range a.calls {
-		if c == conn && !a.stands[k] {
-			return true
-		}
-	}
-	return false
-}
-
-// chooseOpen makes another connection the present one where that has ended: a core sends what concerns a call on the
-// connection of its set-up, or else on any open one.
-func (a *actor) chooseOpen() {
-	for {
-		select {
-		case l := <-a.lines:
-			if l.err == nil {
-				a.lines <- l
-				return // the connections that ended come with the lines, in order
-			}
-			a.ended[l.conn] = true
-			continue
-		default:
-		}
-		break
-	}
-	if !a.ended[a.conn] {
-		return
-	}
-	for {
-		select {
-		case c := <-a.conns:
-			a.conn = c
-			if !a.ended[c] {
-				return
-			}
-			continue
-		default:
-		}
-		return
-	}
-}
-
-// rest returns what a core was sent beside what the steps expected, once the program has ended.
-func (a *actor) rest() string {
-	a.following.Wait()
-	close(a.lines)
-	var out strings.Builder
-	for l := range a.lines {
-		out.Write(l.text)
-	}
-	return out.String()
-}
-
-// text puts the words into a payload.
-func (a *actor) text(s *stage, payload string) string {
-	for k, v := range s.words {
-		payload = strings.ReplaceAll(payload, "<"+k+">", v)
-	}
-	return payload
-}
-
-// choose makes the connection of the first of these calls that has one the present one.
-func (a *actor) choose(calls ...string) {
-	for _, k := range calls {
-		if a.calls[k] != nil {
-			a.conn = a.calls[k]
-			return
-		}
-	}
-}
-
-// encode turns a payload into bytes.
-func (a *actor) encode(s *stage, payload string) []byte {
-	payload = a.text(s, payload)
-	switch {
-	case a.hex():
-		b, err := hex.DecodeString(plainHex(payload))
-		require.NoError(s.t, err)
-		return b
-	case a.name[0] == 'c':
-		return []byte(payload + "\n")
-	}
-	head, body, _ := strings.Cut(payload, "\n\n")
-	body, err := strconv.Unquote(`"` + strings.ReplaceAll(body, `"`, `\"`) + `"`)
-	require.NoError(s.t, err)
-	return []byte(strings.ReplaceAll(head, "\n", "\r\n") + "\r\n\r\n" + body)
-}
-
-// jsonID reads the call that a core's message is of.
-func jsonID(b []byte) string { return fastjson.GetString(b, "id") }
-
-// plainHex strips comments and blanks.
-func plainHex(payload string) string {
-	var b strings.Builder
-	for line := range strings.SplitSeq(payload, "\n") {
-		line, _, _ = strings.Cut(line, ";")
-		b.WriteString(strings.ReplaceAll(strings.TrimSpace(line), " ", ""))
-	}
-	return b.String()
-}
-
-// read reads one message.
-func (a *actor) read(closing bool) ([]byte, error) {
-	if err := a.conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
-		return nil, err
-	}
-	switch {
-	case a.hex():
-		head, err := a.r.Peek(8)
-		if err != nil {
-			return nil, err
-		}
-		b := make([]byte, int(head[6])<<8|int(head[7]))
-		_, err = io.ReadFull(a.r, b)
-		return b, err
-	case a.name[0] == 'c':
-		return a.readLine(closing)
-	}
-	var raw bytes.Buffer
-	for n := 0; ; {
-		line, err := a.r.ReadString('\n')
-		if raw.WriteString(line); err != nil {
-			return nil, err
-		}
-		if v, ok := strings.CutPrefix(line, "Content-Length: "); ok {
-			if n, err = strconv.Atoi(strings.TrimSpace(v)); err != nil {
-				return nil, err
-			}
-		}
-		if line == "\r\n" {
-			_, err = io.CopyN(&raw, a.r, int64(n))
-			return raw.Bytes(), err
-		}
-	}
-}
-
 // match compares what was got with the step.
 func (s *stage) match(a *actor, want string, got []byte) {
 	shown := string(got)
@@ -631,107 +394,3 @@
 		}
 	}
 }
-
-// list sets the name service's answer.
-func (s *stage) list(serial, lines string) {
-	n, err := strconv.Atoi(serial)
-	require.NoError(s.t, err)
-	class, service := dnsmessage.ClassINET, dnsmessage.MustNewName("_app._tcp.cluster.lan.")
-	m := dnsmessage.Message{Header: dnsmessage.Header{Response: true, Authoritative: true}}
-	m.Questions = []dnsmessage.Question{{Name: service, Type: dnsmessage.TypeSRV, Class: class}}
-	m.Authorities = []dnsmessage.Resource{{Header: dnsmessage.ResourceHeader{Name: service, Class: class},
-		Body: &dnsmessage.SOAResource{NS: service, MBox: service, Serial: uint32(n)}}}
-	for line := range strings.Lines(lines) {
-		f := strings.Fields(line)
-		addr := s.actors[f[0]].listener.Addr().(*net.TCPAddr)
-		host := dnsmessage.MustNewName("s-0000000" + f[0][1:] + ".east.hosts.")
-		priority := uint16(0)
-		if f[1] == "draining" {
-			priority = 1
-		}
-		m.Answers = append(m.Answers, dnsmessage.Resource{Header: dnsmessage.ResourceHeader{Name: service, Class: class},
-			Body: &dnsmessage.SRVResource{Priority: priority, Weight: 10, Port: uint16(addr.Port), Target: host}})
-		m.Additionals = append(m.Additionals, dnsmessage.Resource{Header: dnsmessage.ResourceHeader{Name: host, Class: class},
-			Body: &dnsmessage.AResource{A: [4]byte(addr.IP.To4())}},
-			dnsmessage.Resource{Header: dnsmessage.ResourceHeader{Name: host, Class: class},
-				Body: &dnsmessage.TXTResource{TXT: []string{"kind=std", "cell=" + f[0][1:], "started=0"}}})
-	}
-	packet, err := m.Pack()
-	require.NoError(s.t, err)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.answer = packet
-}
-
-// serveNames answers the program's questions once there is a list to answer with.
-func (s *stage) serveNames(conn net.PacketConn) {
-	buf := make([]byte, 512)
-	for {
-		n, from, err := conn.ReadFrom(buf)
-		if err != nil {
-			return
-		}
-		s.mu.Lock()
-		b := bytes.Clone(s.answer)
-		s.mu.Unlock()
-		if n >= 2 && b != nil {
-			copy(b, buf[:2])
-			_, _ = conn.WriteTo(b, from) // the program may have ended
-		}
-	}
-}
-
-// log keeps what the program writes and tells when there is more.
-type log struct {
-	mu   sync.Mutex
-	text strings.Builder
-	more *sync.Cond
-}
-
-func newLog() *log {
-	l := &log{}
-	l.more = sync.NewCond(&l.mu)
-	return l
-}
-
-// Write implements io.Writer.
-func (l *log) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.more.Broadcast()
-	return l.text.Write(b)
-}
-
-// String returns all of it.
-func (l *log) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
-}
-
-// await waits until the log holds a text so many times.
-func (l *log) await(text string, times int) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
-	defer cancel()
-	defer context.AfterFunc(ctx, func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.more.Broadcast()
-	})()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for strings.Count(l.text.String(), text) < times {
-		if ctx.Err() != nil {
-			return false
-		}
-		l.more.Wait()
-	}
-	return true
-}
-
-// address waits for the line that tells where a front listens, and takes the last one.
-func (l *log) address(t *testing.T, front string) string {
-	require.True(t, l.await(`msg="`+front+`"`, 1), "%s", l)
-	all := regexp.MustCompile(`msg="`+front+`".* address=(\S+)`).FindAllStringSubmatch(l.String(), -1)
-	return all[len(all)-1][1]
-}
--- a/internal/sipfront/conn.go
+++ b/internal/sipfront/conn.go
@@ -32,15 +32,15 @@
 // conn is a caller's connection. It is the core's Caller for the set-ups that came on it.
 type conn struct {
 	*stream.Writer
-	nc     net.Conn
-	front  *Front
-	group  string // of callers: the address it came from
-	born   time.Time
-	last   atomic.Int64 // Unix nanoseconds of the last message
-	faults atomic.Int32 // messages at fault since the last good one
-	heard  atomic.Bool  // a whole message has come
-	called atomic.Bool  // one that is not a test: whoever only tests may read nothing else
-	proved atomic.Bool  // a set-up that came on it stood
+	nc      net.Conn
+	front   *Front
+	group   string // of callers: the address it came from
+	born    time.Time
+	last    atomic.Int64 // Unix nanoseconds of the last message
+	faults  atomic.Int32 // messages at fault since the last good one
+	heard   atomic.Bool  // a whole message has come
+	called  atomic.Bool  // one that is not a test: whoever only tests may read nothing else
+	hadCall atomic.Bool  // a set-up that came on it stood
 
 	standing atomic.Int32 // calls that stand whose set-up came on it; changed under the front's lock
 
@@ -87,7 +87,7 @@
 	} else if err != nil && !errors.Is(err, io.EOF) {
 		c.front.log.Debug("caller connection over", "error", err)
 	}
-	c.front.retell(c) // not only once the caller has had its time to read what was left
+	c.front.resendReleases(c) // not only once the caller has had its time to read what was left
 	if gone := (*net.OpError)(nil); errors.Is(err, io.EOF) || errors.As(err, &gone) && !gone.Timeout() {
 		c.Finish() // the caller has ended it
 	} else {
@@ -163,7 +163,7 @@
 // take handles a message. An error ends the connection.
 func (c *conn) take(m message) error {
 	if m.status != 0 {
-		if !c.heardBye(m) && !c.heard.Load() {
+		if !c.acknowledge(m) && !c.heard.Load() {
 			return errAnswer
 		}
 		c.heard.Store(true)
@@ -212,8 +212,8 @@
 	return nil
 }
 
-// heardBye takes the answer to a release, and tells whether there was one to answer.
-func (c *conn) heardBye(m message) bool {
+// acknowledge takes the answer to a release, and tells whether there was one to answer.
+func (c *conn) acknowledge(m message) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, ok := c.byes[m.id()]
@@ -322,7 +322,7 @@
 // Stands implements core.Caller.
 func (c *conn) Stands(key string, description []byte) {
 	c.faults.Store(0)
-	c.proved.Store(true)
+	c.hadCall.Store(true)
 	if m, ok := c.settle(key); ok {
 		c.front.stands(key, c)
 		c.Send(end(m.answer(200, "OK"), description))
@@ -390,8 +390,8 @@
 	return out
 }
 
-// unheard lists the releases that may not have been read.
-func (c *conn) unheard() []release {
+// unreadReleases lists the releases that may not have been read.
+func (c *conn) unreadReleases() []release {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []release
--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -89,7 +89,7 @@
 			f.log.Warn("accept", "error", err)
 			time.Sleep(acceptPause)
 		default:
-			f.come(c)
+			f.admit(c)
 		}
 	}
 }
@@ -128,7 +128,7 @@
 	switch {
 	case !c.heard.Load():
 		return 0
-	case !c.proved.Load():
+	case !c.hadCall.Load():
 		return 1
 	}
 	return 2
@@ -279,9 +279,9 @@
 	return true
 }
 
-// retell sends the releases that may not have been read on a connection that is over on another.
-func (f *Front) retell(c *conn) {
-	for _, r := range c.unheard() {
+// resendReleases sends the releases that may not have been read on a connection that is over on another.
+func (f *Front) resendReleases(c *conn) {
+	for _, r := range c.unreadReleases() {
 		f.release(nil, r)
 	}
 }
@@ -325,8 +325,8 @@
 	}
 }
 
-// Stray releases a call whose connection is not known, as one that an earlier process set up.
-func (f *Front) Stray(key string, cause core.Cause) {
+// ReleaseOrphan releases a call whose connection is not known, as one that an earlier process set up.
+func (f *Front) ReleaseOrphan(key string, cause core.Cause) {
 	f.release(nil, release{key: key, cause: cause, at: time.Now()})
 }
 
--- a/internal/sipfront/pace.go
+++ b/internal/sipfront/pace.go
@@ -26,8 +26,8 @@
 	f.paced = &paced{pacer: p, origin: time.Now(), waiting: map[uint64]net.Conn{}}
 }
 
-// come takes a new connection: at once, in its turn, or not at all.
-func (f *Front) come(nc net.Conn) {
+// admit takes a new connection: at once, in its turn, or not at all.
+func (f *Front) admit(nc net.Conn) {
 	p := f.paced
 	if p == nil {
 		f.take(nc)
--- a/internal/sipfront/retell_test.go
+++ b/internal/sipfront/resend_test.go
@@ -20,9 +20,9 @@
 
 func (half) CloseWrite() error { return nil }
 
-// TestReleaseRetold: a connection is ended for what it sent while a release written on it is unheard. The release
+// TestReleaseResent: a connection is ended for what it sent while a release written on it may not have been read. The release
 // goes out on another at once, not after the second that the caller has to read the rest.
-func TestReleaseRetold(t *testing.T) {
+func TestReleaseResent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		phase := &lifecycle.Lifecycle{}
 		require.NoError(t, phase.To(lifecycle.Ready))
