--- a/internal/netconf/netconf_test.go
+++ b/internal/netconf/netconf_test.go
@@ -525,3 +525,49 @@
 	}()
 	require.NoError(t, login("op", user, second))
 }
+
+// deafConn is a client's connection that reads nothing any more once it is told to.
+type deafConn struct {
+	net.Conn
+	deaf chan struct{}
+}
+
+// Read implements io.Reader.
+func (c deafConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	select {
+	case <-c.deaf:
+		select {} // what has come is never answered
+	default:
+		return n, err
+	}
+}
+
+// TestSilentClient: a client that answers no keep-alive is let go; one that does, stays.
+func TestSilentClient(t *testing.T) {
+	l := newLab(t)
+	host, _ := newKey(t)
+	user, _ := newKey(t)
+	on, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := NewListener(l.Server, &keys{hosts: []ssh.Signer{host}, users: map[string][]ssh.PublicKey{"op": {user.PublicKey()}}}, quiet)
+	listener.keepAlive = 100 * time.Millisecond
+	go func() { _ = listener.Serve(t.Context(), on) }()
+	nc, err := net.Dial("tcp", on.Addr().String())
+	require.NoError(t, err)
+	defer nc.Close()
+	deaf := make(chan struct{})
+	conn, channels, requests, err := ssh.NewClientConn(deafConn{nc, deaf}, "", &ssh.ClientConfig{User: "op", Auth: []ssh.AuthMethod{ssh.PublicKeys(user)},
+		HostKeyCallback: ssh.FixedHostKey(host.PublicKey())})
+	require.NoError(t, err)
+	ssh.NewClient(conn, channels, requests) // answers requests, as clients do
+	clients := func() int {
+		listener.mu.Lock()
+		defer listener.mu.Unlock()
+		return len(listener.clients)
+	}
+	time.Sleep(500 * time.Millisecond)
+	require.Equal(t, 1, clients(), "keep-alives are answered")
+	close(deaf)
+	require.Eventually(t, func() bool { return clients() == 0 }, 5*time.Second, 10*time.Millisecond)
+}
--- a/internal/netconf/ssh.go
+++ b/internal/netconf/ssh.go
@@ -21,6 +21,10 @@
 	mostChannels  = 4  // sessions on one connection
 	mostClients   = 16 // connections that have logged in
 	writeWithin   = 10 * time.Second
+
+	// A client that has not answered a keep-alive for keepAliveEvery is gone: its sessions end, and their locks with
+	// them.
+	keepAliveEvery = 20 * time.Second
 )
 
 // Access says who may log in. It is asked at each log-in: what has changed counts from the next one on.
@@ -34,9 +38,10 @@
 
 // Listener serves NETCONF over SSH (RFC 6242), with keys only.
 type Listener struct {
-	server *Server
-	access Access
-	log    *slog.Logger
+	server    *Server
+	access    Access
+	log       *slog.Logger
+	keepAlive time.Duration // between two keep-alives, and the time for an answer
 
 	mu        sync.Mutex
 	strangers []net.Conn // the oldest first
@@ -46,7 +51,7 @@
 
 // NewListener returns a Listener of a server.
 func NewListener(s *Server, access Access, log *slog.Logger) *Listener {
-	return &Listener{server: s, access: access, log: log, clients: map[net.Conn]struct{}{}}
+	return &Listener{server: s, access: access, log: log, keepAlive: keepAliveEvery, clients: map[net.Conn]struct{}{}}
 }
 
 // Serve takes connections until the context ends or the listener fails, and returns when all of them are over.
@@ -145,6 +150,9 @@
 	}
 	l.log.Info("netconf login", "user", conn.User(), "from", nc.RemoteAddr().String(), "key", conn.Permissions.Extensions["key"])
 	go ssh.DiscardRequests(requests)
+	over := make(chan struct{})
+	defer close(over)
+	go l.watch(conn, nc, over)
 	var sessions sync.WaitGroup
 	defer sessions.Wait()
 	open := make(chan struct{}, mostChannels)
@@ -171,6 +179,26 @@
 	return conn.Wait()
 }
 
+// watch ends a connection whose client does not answer keep-alives any more, until the connection is over.
+func (l *Listener) watch(conn ssh.Conn, nc net.Conn, over <-chan struct{}) {
+	for {
+		select {
+		case <-over:
+			return
+		case <-time.After(l.keepAlive):
+		}
+		silent := time.AfterFunc(l.keepAlive, func() {
+			l.log.Warn("netconf connection closed", "reason", "keep-alive not answered", "user", conn.User())
+			nc.Close()
+		})
+		_, _, err := conn.SendRequest("keepalive@openssh.com", true, nil)
+		silent.Stop()
+		if err != nil {
+			return // the connection is over
+		}
+	}
+}
+
 // session waits for the subsystem's request and serves it (RFC 6242, 3).
 func (l *Listener) session(nc net.Conn, user string, ch ssh.Channel, asked <-chan *ssh.Request) {
 	defer ch.Close()
