A later process's word does not pass over calls that it was seen not to have

Change: the proof asks the same question as the tick before it merges.

Measured: TestWordBeforeTick fails without the change and passes with it.

--- a/internal/liveness/lease.go
+++ b/internal/liveness/lease.go
@@ -424,7 +424,7 @@
 	switch {
 	case refused && (!p.closed || now-l.refusedSince >= refusedFor):
 		return ReasonRefused
-	case p.denied != nil && now-p.denied.at >= ProofWithin && required(p.width(p.denied.at-settled)) > p.denied.room:
+	case p.lacksCalls(now):
 		return ReasonReplaced
 	case now-p.aliveAt >= Length:
 		return ReasonSilent
@@ -432,6 +432,12 @@
 	return ""
 }
 
+// lacksCalls tells whether a later process was seen not to have the calls of this one, and has had time to release those
+// that have ended.
+func (p *process) lacksCalls(now time.Duration) bool {
+	return p.denied != nil && now-p.denied.at >= ProofWithin && required(p.width(p.denied.at-settled)) > p.denied.room
+}
+
 // expire takes the calls off a process.
 func (p *process) expire(reason Reason, now time.Duration) Expiry {
 	e := Expiry{Reason: reason, Silent: now - p.aliveAt}
@@ -447,6 +453,9 @@
 // prove takes a later process for the same one where nothing speaks against it: no check has failed, and states don't
 // tell. That its connections are silent is no sign: a core with nothing to say says nothing.
 func (l *Lease) prove(p *process, now time.Duration) {
+	if p.lacksCalls(now) {
+		return // its calls are over with the next Tick
+	}
 	released := p.denied != nil && now-p.denied.at >= ProofWithin // the rest has been released since
 	if released {
 		p.denied = nil
--- a/internal/liveness/lease_test.go
+++ b/internal/liveness/lease_test.go
@@ -350,3 +350,16 @@
 	c.pass(10 * time.Second)
 	require.Empty(t, c.expired)
 }
+
+// TestWordBeforeTick: the process that has taken the address speaks between the second in which calls might have been
+// released and the tick that gives them up.
+func TestWordBeforeTick(t *testing.T) {
+	c := newCore(t)
+	c.vanish()
+	c.up, c.used = true, 0
+	c.dial()
+	c.now += ProofWithin
+	c.lease.Heard(c.next, c.now, Message{})
+	c.pass(tick)
+	require.Equal(t, map[string]Reason{"call0": ReasonReplaced, "call1": ReasonReplaced}, c.expired)
+}
