--- a/internal/faulttrial/check.go
+++ b/internal/faulttrial/check.go
@@ -37,23 +37,22 @@
 
 // The rules.
 const (
-	RuleAnswer    Rule = "lost"          // a set-up without a final answer in time
-	RuleSecond    Rule = "second-answer" // more than one final answer
-	RuleForeign   Rule = "foreign"       // an answer that no core made
-	RuleOverlap   Rule = "overlap"       // two attempts out at once
-	RuleHold      Rule = "hold"          // a resend within 300 ms after a timeout, reset or cancel
-	RuleDrain     Rule = "drain"         // a set-up to a core that drains or is gone
-	RuleRelease   Rule = "release"       // the end of a call that stood is not told in time
-	RuleGivenUp   Rule = "given-up"      // a call was cut though its core was alive and back in time
-	RuleCold      Rule = "cold"          // a core that has just started was pushed over
-	RuleCrash     Rule = "crash"         // a process ended by itself, or with an error, or was not ready in time
-	RuleLimit     Rule = "limit"         // over the limit on memory or descriptors
-	RuleLingering Rule = "exit"          // the process went on after SIGTERM though nothing was left
+	RuleAnswer  Rule = "lost"          // a set-up without a final answer in time
+	RuleSecond  Rule = "second-answer" // more than one final answer
+	RuleForeign Rule = "foreign"       // an answer that no core made
+	RuleOverlap Rule = "overlap"       // two attempts out at once
+	RuleHold    Rule = "hold"          // a resend within 300 ms after a timeout, reset or cancel
+	RuleDrain   Rule = "drain"         // a set-up to a core that drains or is gone
+	RuleRelease Rule = "release"       // the end of a call that stood is not told in time
+	RuleGivenUp Rule = "given-up"      // a call was cut though its core was alive and back in time
+	RuleCold    Rule = "cold"          // a core that has just started was pushed over
+	RuleCrash   Rule = "crash"         // a process ended by itself, or with an error, or was not ready in time
+	RuleLimit   Rule = "limit"         // over the limit on memory or descriptors
 )
 
 // Rules are all of them, in the order of tables.
 var Rules = []Rule{RuleAnswer, RuleSecond, RuleForeign, RuleOverlap, RuleHold, RuleDrain, RuleRelease, RuleGivenUp, RuleCold,
-	RuleCrash, RuleLimit, RuleLingering}
+	RuleCrash, RuleLimit}
 
 // Finding is a broken rule.
 type Finding struct {
