A list that has lost a core's start tells of no restart; three faults of the trials mended

The other two are the trials' own: a vanished core closed connections, and the checker took another core's unheard answer for the call's.

Change: only a later start is a restart. The stand-in and the checker as above.

Measured: TestStartForgotten; the checker's tests.

--- a/internal/corelink/pool.go
+++ b/internal/corelink/pool.go
@@ -184,12 +184,12 @@
 		old.drop()
 		p.add(c)
 		return dead
-	case old.Since != c.Since:
+	case c.Since > old.Since: // a list that has lost the time of the start tells of no start
 		// Connections that came up since then are to the new process, and so are the calls on them.
 		dead = append(dead, over{c.ID, c.Since})
 		old.restarted(c.Since)
 	}
-	old.Since, old.Draining = c.Since, c.Draining
+	old.Since, old.Draining = max(old.Since, c.Since), c.Draining
 	if c.Draining && len(old.waiting) > 0 { // they would be sent whenever a connection comes up
 		waiting := old.waiting
 		old.waiting = nil
--- a/internal/corelink/pool_test.go
+++ b/internal/corelink/pool_test.go
@@ -19,11 +19,15 @@
 	core.Events
 	mu   sync.Mutex
 	keys []string
+	cuts int // of calls that stand
 }
 
-func (l *losses) Lost(_ brookmux.SwitchID, keys []string, _ core.Loss) {
+func (l *losses) Lost(_ brookmux.SwitchID, keys []string, loss core.Loss) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if loss.Cut {
+		l.cuts++
+	}
 	l.keys = append(l.keys, keys...)
 }
 
@@ -59,3 +63,20 @@
 	require.Empty(t, p.endpoints)
 	require.Len(t, events.keys, cores)
 }
+
+// TestStartForgotten: a list that has lost the time of a core's start, as when it drains, tells of no start: calls there
+// go on.
+func TestStartForgotten(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	events := &losses{}
+	p := New(t.Context(), Config{Connections: 1, Origin: time.Now(), Log: slog.New(slog.DiscardHandler)})
+	p.Serve(events)
+	p.Update([]Core{{ID: 1, Addr: l.Addr().String(), Since: time.Second}})
+	p.Update([]Core{{ID: 1, Addr: l.Addr().String(), Draining: true}})
+	events.mu.Lock()
+	defer events.mu.Unlock()
+	require.Zero(t, events.cuts)
+	require.True(t, p.endpoints[1].Draining)
+}
--- a/internal/faulttrial/check.go
+++ b/internal/faulttrial/check.go
@@ -96,9 +96,9 @@
 	answers                 []Event
 	cancel, release, hangup *Event
 	lost                    *Event
-	setups                  []Event // at cores, in order
-	ends                    []Event // of attempts, in order
-	end, told               *Event  // of the call at its core; its release written there
+	setups                  []Event           // at cores, in order
+	ends                    []Event           // of attempts, in order
+	end, told               map[string]*Event // by core: of a call there; its release written there
 	coreAnswers             []Event
 	all                     []Event
 }
@@ -139,7 +139,7 @@
 func (c *checker) call(id string) *callRecord {
 	r := c.calls[id]
 	if r == nil {
-		r = &callRecord{id: id}
+		r = &callRecord{id: id, end: map[string]*Event{}, told: map[string]*Event{}}
 		c.calls[id] = r
 		c.order = append(c.order, id)
 	}
@@ -193,9 +193,13 @@
 	case CoreRefuse, CoreGivenUp:
 		r.ends = append(r.ends, *e)
 	case CoreEnd:
-		first(&r.end)
+		if r.end[e.Core] == nil {
+			r.end[e.Core] = e
+		}
 	case CoreRelease:
-		first(&r.told)
+		if r.told[e.Core] == nil {
+			r.told[e.Core] = e
+		}
 	}
 }
 
@@ -382,11 +386,14 @@
 		return
 	}
 	core := ""
-	if len(r.coreAnswers) > 0 {
-		core = r.coreAnswers[len(r.coreAnswers)-1].Core
+	for _, e := range r.coreAnswers {
+		if core == "" || e.Text == r.answers[0].Text {
+			core = e.Core // others may have answered, unheard
+		}
 	}
+	end, told := r.end[core], r.told[core]
 	last := c.events[len(c.events)-1].At
-	if r.end == nil || r.release != nil && r.release.At < r.end.At {
+	if end == nil || r.release != nil && r.release.At < end.At {
 		if r.release == nil {
 			return // it stands at the trial's end, or its controller was killed
 		}
@@ -404,9 +411,9 @@
 		c.finding(r, RuleGivenUp, r.release.At, core, fmt.Sprintf("released though its core was alive (silent for %v at most)", silent.Round(time.Millisecond)))
 		return
 	}
-	due, why := r.end.At+releaseEnd, "8 s after its end"
-	if r.told != nil && r.told.At+releaseTold < due {
-		due, why = r.told.At+releaseTold, "1 s after its release"
+	due, why := end.At+releaseEnd, "8 s after its end"
+	if told != nil && told.At+releaseTold < due {
+		due, why = told.At+releaseTold, "1 s after its release"
 	}
 	due += c.slack()
 	if r.release != nil && r.release.At <= due {
@@ -422,9 +429,9 @@
 	}
 	text := "its end was not told within " + why
 	if r.release != nil {
-		text += fmt.Sprintf(" (told %v after its end)", (r.release.At - r.end.At).Round(time.Millisecond))
+		text += fmt.Sprintf(" (told %v after its end)", (r.release.At - end.At).Round(time.Millisecond))
 	}
-	c.finding(r, RuleRelease, due, core, text+": "+r.end.Text)
+	c.finding(r, RuleRelease, due, core, text+": "+end.Text)
 }
 
 // checkDrains checks that nothing new goes to a core later than 1 s after the controller counts as told.
--- a/internal/faulttrial/core.go
+++ b/internal/faulttrial/core.go
@@ -611,6 +611,9 @@
 func (c *CoreProcess) Disturb(how string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.frozen || c.dead {
+		return // it does nothing
+	}
 	c.record.Add(Event{Kind: Fault, Core: c.ID, Text: how + " idle connections"})
 	busy := map[*coreConn]bool{}
 	for _, call := range c.calls {
--- a/internal/faulttrial/discovery.go
+++ b/internal/faulttrial/discovery.go
@@ -148,6 +148,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.before = d.copyMembers()
+	if was, listed := d.members[m.ID]; listed && m.Started.IsZero() {
+		m.Started = was.Started
+	}
 	if m.State == Gone {
 		delete(d.members, m.ID)
 	} else {
