A held release is dropped when its call is set up at the core again; one test known red

A release kept until the core has read it could be sent after another set-up of the same call there, and end it. Beside it: a set-up lost with its connection is not let go of at its core; not mended here.

Change: releases of a call go when a set-up of it goes to the same core.

--- a/internal/core/unresolved_test.go
+++ b/internal/core/unresolved_test.go
@@ -107,3 +107,10 @@
 	require.Equal(t, 1, d.over)
 	require.Empty(t, d.calls)
 }
+
+// TestLostSetUpIsLetGo: a set-up that is lost with its connection may stand at its core, unheard. The core has to be told
+// to let go of it, or its end becomes a release of the call's next attempt once this process has been restarted.
+func TestLostSetUpIsLetGo(t *testing.T) {
+	d := newDesk(t)
+	require.Equal(t, []brookmux.SwitchID{1}, d.released)
+}
--- a/internal/corelink/connection.go
+++ b/internal/corelink/connection.go
@@ -97,7 +97,7 @@
 
 // sendRelease writes a release, and keeps it until the core is known to have read it.
 func (c *connection) sendRelease(r heldRelease, now time.Time) {
-	c.unconfirmed = append(c.unconfirmed, heldRelease{r.line, r.since, now})
+	c.unconfirmed = append(c.unconfirmed, heldRelease{r.call, r.line, r.since, now})
 	if len(c.unconfirmed) > maxReleases {
 		c.unconfirmed = c.unconfirmed[1:]
 	}
--- a/internal/corelink/endpoint.go
+++ b/internal/corelink/endpoint.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -51,6 +52,7 @@
 
 // heldRelease is a release that the core has yet to read.
 type heldRelease struct {
+	call  string
 	line  []byte
 	since time.Time // when it was made
 	sent  time.Time // on the present connection
@@ -89,6 +91,7 @@
 // setUp sends a set-up on the best connection, or keeps it for the next one. The lock is held.
 func (e *endpoint) setUp(a core.Attempt) {
 	now := time.Now()
+	e.dropReleases(a.Key)
 	if c := e.best(now); c != nil {
 		c.sendSetUp(a, now)
 		return
@@ -97,6 +100,16 @@
 	e.dialNow()
 }
 
+// dropReleases forgets the releases of a call that might be sent again: the core gets another set-up of it now, which they
+// would end. The lock is held.
+func (e *endpoint) dropReleases(call string) {
+	of := func(r heldRelease) bool { return r.call == call }
+	e.releases = slices.DeleteFunc(e.releases, of)
+	for c := range e.connections {
+		c.unconfirmed = slices.DeleteFunc(c.unconfirmed, of)
+	}
+}
+
 // dialNow wakes those who wait before they dial again.
 func (e *endpoint) dialNow() {
 	select {
@@ -115,7 +128,7 @@
 		}
 	}
 	now := time.Now()
-	r := heldRelease{line: causeLine(kindRelease, key, cause), since: now}
+	r := heldRelease{call: key, line: causeLine(kindRelease, key, cause), since: now}
 	for c := range e.connections {
 		if _, own := c.pending[key]; own {
 			c.sendRelease(r, now)
--- a/internal/corelink/pool_test.go
+++ b/internal/corelink/pool_test.go
@@ -80,3 +80,21 @@
 	require.Zero(t, events.cuts)
 	require.True(t, p.endpoints[1].Draining)
 }
+
+// TestReleaseDropped: a release that waits for a connection is not sent after another set-up of its call.
+func TestReleaseDropped(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	p := New(t.Context(), Config{Connections: 1, Origin: time.Now(), Log: slog.New(slog.DiscardHandler)})
+	p.Serve(&losses{})
+	p.Update([]Core{{ID: 1, Addr: address}})
+	p.Release(1, "000000000000000a", 16)
+	p.Release(1, "000000000000000b", 16)
+	p.SetUp(1, core.Attempt{Key: "000000000000000a", Left: time.Second})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	require.Len(t, p.endpoints[1].releases, 1)
+	require.Equal(t, "000000000000000b", p.endpoints[1].releases[0].call)
+}
