--- a/internal/liveness/lease.go
+++ b/internal/liveness/lease.go
@@ -105,7 +105,6 @@
 type process struct {
 	aliveAt     time.Duration // of the last word
 	heard       bool
-	heardAt     time.Duration // first
 	connections map[ConnectionID]*connection
 	calls       map[string]call
 	outage      bool // since the last word, a check has failed
@@ -183,10 +182,7 @@
 func (l *Lease) word(c *connection, now time.Duration) {
 	c.heard = true
 	p := c.process
-	if !p.heard {
-		p.heard, p.heardAt = true, now
-	}
-	p.aliveAt, p.outage = now, false
+	p.heard, p.aliveAt, p.outage = true, now, false
 	for _, later := range l.after(p) {
 		if later.heard {
 			l.merge(p, later)
@@ -216,9 +212,7 @@
 		into.calls[id] = k
 	}
 	into.aliveAt = max(into.aliveAt, from.aliveAt)
-	if from.heard && !into.heard {
-		into.heard, into.heardAt = true, from.heardAt
-	}
+	into.heard = into.heard || from.heard
 	into.outage, into.denied = false, nil
 	if from.usedKnown {
 		into.used, into.usedKnown = from.used, true
@@ -250,7 +244,7 @@
 			if p.denied == nil {
 				p.denied = &denial{at: now, room: by.used - by.width(now-settled)}
 			}
-		case by.used >= required(width)+l.widthAfter(p, now) && now-by.heardAt <= ProofWithin:
+		case by.used >= required(width)+l.widthAfter(p, now):
 			l.merge(p, by)
 			by = p // has the states and the calls of both
 		}
--- a/internal/liveness/lease_test.go
+++ b/internal/liveness/lease_test.go
@@ -363,3 +363,20 @@
 	c.pass(tick)
 	require.Equal(t, map[string]Reason{"call0": ReasonReplaced, "call1": ReasonReplaced}, c.expired)
 }
+
+// TestForgottenWithSetUp: the core has forgotten all connections, one with a set-up that it never counts. While that is
+// open, its states don't tell whether it has the calls; afterwards they do.
+func TestForgottenWithSetUp(t *testing.T) {
+	c := newCore(t)
+	c.closes = false
+	c.lease.SetUpSent("lost", 1)
+	c.dial()
+	c.pass(1500 * time.Millisecond)
+	c.lease.SetUpOver("lost")
+	for range 10 {
+		c.lease.Heard(c.next, c.now, c.state())
+		c.pass(time.Second)
+	}
+	require.Empty(t, c.expired)
+	require.Len(t, c.lease.processes, 1)
+}
