--- a/internal/faulttrial/check_test.go
+++ b/internal/faulttrial/check_test.go
@@ -1,6 +1,7 @@
 package faulttrial
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -123,7 +124,7 @@
 // TestSoak plays a few trials with the program itself; `faultsoak run` plays many.
 func TestSoak(t *testing.T) {
 	for seed := uint64(101); seed <= 106; seed++ {
-		t.Run("", func(t *testing.T) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			trial, err := Run(NewPlan(seed, nil), program, t.TempDir(), nil)
 			require.NoError(t, err)
