Calls on a core that forgot its connections are not given up over lost set-ups

Cause: a process at the address proves that it has the calls by its circuits in use, less what it may have taken on itself. Lease.widthAfter counted every open set-up for that, also those on forgotten connections, which that process can't have got. While one was open no greeting proved anything, and the next question came after 2 s.

Change: only set-ups on later connections count; where those leave it open, the core is asked again 0.5 s after they are over. A set-up on an earlier connection can't be in the state of a process that was not there to read it.

--- a/internal/corelink/connection.go
+++ b/internal/corelink/connection.go
@@ -91,7 +91,7 @@
 // sendSetUp writes a set-up. If the connection is over, its reader reports it lost with all others.
 func (c *connection) sendSetUp(a core.Attempt, now time.Time) {
 	c.pending[a.Key] = pendingSetUp{a.Width}
-	c.lease.SetUpSent(a.Key, a.Width)
+	c.lease.SetUpSent(a.Key, a.Width, c.id)
 	c.send(setUpLine(a), now)
 }
 
--- a/internal/liveness/lease.go
+++ b/internal/liveness/lease.go
@@ -92,6 +92,12 @@
 	since time.Duration
 }
 
+// setUp is a set-up that is open.
+type setUp struct {
+	on    ConnectionID
+	width float64
+}
+
 // connection is an open connection.
 type connection struct {
 	process *process
@@ -125,17 +131,17 @@
 type Lease struct {
 	processes    []*process // by the time of their first connection; the last is at the address now
 	connections  map[ConnectionID]*connection
-	pending      map[string]float64 // width of the set-ups that are open
-	greets       bool               // new connections begin with the group's state
-	truthful     bool               // states were seen to count the calls that stand
-	distrusted   bool               // states were seen not to
+	pending      map[string]setUp // by call
+	greets       bool             // new connections begin with the group's state
+	truthful     bool             // states were seen to count the calls that stand
+	distrusted   bool             // states were seen not to
 	checkedAt    time.Duration
 	refusedSince time.Duration // 0 while dials are not refused
 }
 
 // New returns a Lease of a core without connections or calls.
 func New() *Lease {
-	return &Lease{connections: map[ConnectionID]*connection{}, pending: map[string]float64{}}
+	return &Lease{connections: map[ConnectionID]*connection{}, pending: map[string]setUp{}}
 }
 
 // Connected reports a new connection.
@@ -255,20 +261,32 @@
 // their releases been lost: that is no sign of another process.
 func required(width float64) float64 { return width - math.Floor(width*lostShare) }
 
-// SetUpSent reports that a set-up is open on a connection; it takes circuits from then on.
-func (l *Lease) SetUpSent(id string, width float64) { l.pending[id] = max(1, width) }
+// SetUpSent reports that a set-up is open on a connection; it takes circuits of the process there from then on.
+func (l *Lease) SetUpSent(id string, width float64, on ConnectionID) {
+	l.pending[id] = setUp{on: on, width: max(1, width)}
+}
 
 // SetUpOver reports that a set-up is open no more.
 func (l *Lease) SetUpOver(id string) { delete(l.pending, id) }
 
-// widthAfter is how many circuits may be taken by what was set up on later processes than one.
+// widthAfter is how many circuits may be taken by what was set up on later processes than one. What is open on its own
+// connections, or on those of earlier ones, reached none of them.
 func (l *Lease) widthAfter(p *process, now time.Duration) float64 {
-	sum := 0.0
+	sum := l.pendingAfter(p)
 	for _, later := range l.after(p) {
 		sum += later.width(now)
 	}
-	for _, width := range l.pending {
-		sum += width
+	return sum
+}
+
+// pendingAfter is how many circuits the set-ups may take that are open on later processes than one.
+func (l *Lease) pendingAfter(p *process) float64 {
+	later := l.after(p)
+	sum := 0.0
+	for _, s := range l.pending {
+		if c := l.connections[s.on]; c == nil || slices.Contains(later, c.process) {
+			sum += s.width
+		}
 	}
 	return sum
 }
@@ -489,13 +507,19 @@
 	slices.Sort(d.Idle)
 	slices.Sort(d.Silent)
 	d.Prove = p != l.newest() && !l.counts() && len(d.Silent) > 0
-	if p != l.newest() && !d.Prove && l.reached(now) {
+	if p != l.newest() && !d.Prove && l.reached(now) && !l.undecided(p) {
 		return // the process there now has spoken, or has still time to
 	}
 	l.checkedAt = now
 	d.Check = true
 }
 
+// undecided tells whether the states of the process at the address have not shown if it has the calls of an earlier one,
+// as set-ups were open, and would now: there are none any more.
+func (l *Lease) undecided(p *process) bool {
+	return l.counts() && l.newest().usedKnown && p.denied == nil && l.pendingAfter(p) == 0
+}
+
 // reached tells whether the process at the address now was heard, or has still time to greet.
 func (l *Lease) reached(now time.Duration) bool {
 	for _, c := range l.newest().connections {
--- a/internal/liveness/lease_test.go
+++ b/internal/liveness/lease_test.go
@@ -323,7 +323,7 @@
 	c.pass(2 * time.Second)
 	c.up, c.used = true, 5
 	for i := range 5 {
-		c.lease.SetUpSent(fmt.Sprint("set-up", i), 1)
+		c.lease.SetUpSent(fmt.Sprint("set-up", i), 1, c.next+1)
 	}
 	c.dial()
 	for i := range 5 {
@@ -369,7 +369,7 @@
 func TestForgottenWithSetUp(t *testing.T) {
 	c := newCore(t)
 	c.closes = false
-	c.lease.SetUpSent("lost", 1)
+	c.lease.SetUpSent("lost", 1, 1)
 	c.dial()
 	c.pass(1500 * time.Millisecond)
 	c.lease.SetUpOver("lost")
