A set-up lost with its connection is released at its core

Seen: a core answers and its connection breaks before the answer is whole.

Cause: Engine.Lost told the module of the reset and the core nothing; the end of a connection gives up set-ups that are open, not calls that the core has answered.

Change: Engine.Lost releases the set-up at its core. Where that release waits for a connection, or had to and may not have been read, another set-up of the call is reported as not reached there: it would be ended by the release, or follow it too soon.

--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -79,6 +79,7 @@
 				}
 				if !c.out.stands && !l.Cut && l.Outcome.Result == brookmux.ResultReset {
 					c.unresolvedAt = append(c.unresolvedAt, at)
+					e.Trunks.Release(at, k, NormalClearing) // it may stand there, its answer unheard
 				}
 				e.finishAttempt(c, l.Outcome)
 			}
--- a/internal/corelink/endpoint.go
+++ b/internal/corelink/endpoint.go
@@ -22,6 +22,7 @@
 	checkTimeout    = time.Second            // a connection that is opened to check a core comes up in this time at most
 	maxReleases     = 1024                   // releases kept for a core's next connection
 	releaseLifetime = 60 * time.Second       // and how long
+	promptRelease   = 50 * time.Millisecond  // a release written later than this after it was made had to wait for a connection
 
 	watchInterval = 50 * time.Millisecond
 	staleAfter    = 300 * time.Millisecond // a connection this far behind the others of its core is of no use
@@ -88,10 +89,16 @@
 	return best
 }
 
-// setUp sends a set-up on the best connection, or keeps it for the next one. The lock is held.
+// setUp sends a set-up on the best connection, or keeps it for the next one. Where the core has yet to let go of an earlier
+// set-up of the call, it is reported as not reached: the release would end it, or it would follow that too soon. The lock is
+// held.
 func (e *endpoint) setUp(a core.Attempt) {
 	now := time.Now()
-	e.dropReleases(a.Key)
+	if e.releaseOutstanding(a.Key) {
+		go e.pool.unreached(e.id(), []core.Attempt{a}) // not from here: the owner calls this
+		return
+	}
+	e.dropUnconfirmed(a.Key)
 	if c := e.best(now); c != nil {
 		c.sendSetUp(a, now)
 		return
@@ -100,13 +107,27 @@
 	e.dialNow()
 }
 
-// dropReleases forgets the releases of a call that might be sent again: the core gets another set-up of it now, which they
-// would end. The lock is held.
-func (e *endpoint) dropReleases(call string) {
-	of := func(r heldRelease) bool { return r.call == call }
-	e.releases = slices.DeleteFunc(e.releases, of)
+// releaseOutstanding tells whether a release of a call waits for a connection, or had to and may not have been read. The
+// lock is held.
+func (e *endpoint) releaseOutstanding(call string) bool {
+	if slices.ContainsFunc(e.releases, func(r heldRelease) bool { return r.call == call }) {
+		return true
+	}
+	for c := range e.connections {
+		for _, r := range c.unconfirmed {
+			if r.call == call && r.sent.Sub(r.since) > promptRelease {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// dropUnconfirmed forgets the releases of a call that were written and might be sent again: the core gets another set-up
+// of it now, which they would end. The lock is held.
+func (e *endpoint) dropUnconfirmed(call string) {
 	for c := range e.connections {
-		c.unconfirmed = slices.DeleteFunc(c.unconfirmed, of)
+		c.unconfirmed = slices.DeleteFunc(c.unconfirmed, func(r heldRelease) bool { return r.call == call })
 	}
 }
 
--- a/internal/faulttrial/incident_test.go
+++ b/internal/faulttrial/incident_test.go
@@ -256,3 +256,29 @@
 		})
 	}
 }
+
+// TestBrokenAnswers guards against calls that are left standing at a core after their callers had a refusal: the core's
+// answers break off with a reset of their connection, and the calls stand there, unheard, until they are released.
+func TestBrokenAnswers(t *testing.T) {
+	for _, play := range []struct {
+		calls int
+		rate  float64
+	}{{calls: 1}, {calls: 2}, {calls: 12}, {calls: 2, rate: 10}} {
+		t.Run(fmt.Sprintf("%d calls, %v a second", play.calls, play.rate), func(t *testing.T) {
+			t.Parallel()
+			l := newTestLab(t, func(c *LabConfig) { c.Cores, c.Core.BreakOff, c.Callers.Rate = 1, 1, play.rate })
+			l.Callers(0).Burst(play.calls)
+			if play.rate > 0 {
+				go l.Callers(0).Run()
+			}
+			time.Sleep(3 * time.Second)
+			l.Callers(0).Finish()
+			time.Sleep(3 * time.Second)
+			l.Record.Add(Event{Kind: TrialEnd})
+			verdict := Check(l.Record.Events(), CheckConfig{Settings: l.Settings})
+			require.Empty(t, verdict.Findings)
+			require.GreaterOrEqual(t, verdict.Refused+verdict.Failed, play.calls)
+			require.Zero(t, l.Standing())
+		})
+	}
+}
