A drain ends each connection in order, so that its last releases are read

Cause: with the last call over and callers quiet, run closed all connections and exited while acknowledgements were on their way. These met a closed socket, the callers' next write failed, and what they had not read was lost with the connection. Seen in the log (drained, 'use of closed network connection' and release_waits within 1 ms). Writers that had not run before the exit were not seen. watch did the same to idle connections.

Change: Front.Shutdown and closeIdle keep a connection until its releases are acknowledged and it is quiet, end its writing half, read on until the caller ends it, and close it at a named timer cut short of the kill. Pool.Shutdown does so towards cores, after releases that wait for a connection. shut_down logs what was left, by reason.

Rig: callers of the trials read on after a failed write, which hid this; now they drop the connection.

--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -29,12 +29,6 @@
 // long ago.
 const before = time.Hour
 
-// After a drain the program stays until no caller sends anything, for a while at most.
-const (
-	quietWithin   = 4 * time.Second
-	quietInterval = 20 * time.Millisecond
-)
-
 func main() { os.Exit(command(os.Args[1:], os.Getenv, os.Stdout, os.Stderr)) }
 
 // signals are what the program is told from outside: to end, or to read its configuration again.
@@ -155,6 +149,7 @@
 		}()
 	}
 	reloader.serve(listener)
+	kill := time.Time{}
 	for drained := (<-chan struct{})(nil); ; {
 		select {
 		case err := <-failed:
@@ -169,16 +164,15 @@
 			if err := phase.To(lifecycle.Draining); err != nil {
 				return err
 			}
+			kill = time.Now().Add(killAfter(reloader.conf.settings))
+			front.Drain(kill)
 			drained = engine.Drain()
 			continue
 		case <-drained:
 		}
 		break
 	}
-	for began := time.Now(); !front.Quiet() && time.Since(began) < quietWithin; {
-		time.Sleep(quietInterval) // callers go on using open connections: what comes there is turned away
-	}
-	front.Close()
+	shutDown(front, links, kill, log)
 	cancel()
 	links.Wait()
 	return phase.To(lifecycle.Stopped)
--- a/internal/corelink/endpoint.go
+++ b/internal/corelink/endpoint.go
@@ -67,6 +67,15 @@
 	e.cancel()
 }
 
+// finish ends the writing halves of the connections, after what is queued, and opens no more. The lock is held.
+func (e *endpoint) finish() {
+	for c := range e.connections {
+		c.retired = true
+		c.HalfClose()
+	}
+	e.cancel()
+}
+
 // restarted ends the connections to a process that has gone since, and forgets its calls. The lock is held.
 func (e *endpoint) restarted(since time.Duration) {
 	at := e.pool.Origin.Add(since)
--- a/internal/corelink/pool.go
+++ b/internal/corelink/pool.go
@@ -12,7 +12,10 @@
 	"brookmux/internal/settings"
 )
 
-const defaultConnectTimeout = 500 * time.Millisecond
+const (
+	defaultConnectTimeout = 500 * time.Millisecond
+	shutdownInterval      = 10 * time.Millisecond
+)
 
 // Core is a line of the list: a core that may be reached.
 type Core struct {
@@ -252,6 +255,54 @@
 	p.watcher.Wait()
 }
 
+// Unfinished is what a Shutdown has left, by reason.
+type Unfinished struct {
+	Unsent int // releases for which there was no connection
+	Open   int // connections that their cores had not ended
+}
+
+// Shutdown ends all connections in order, once no set-up is open: releases that wait for a connection get one if it comes
+// up in time, then the writing halves are ended, and it returns when the cores have ended them too, at the given time at
+// the latest. Nothing may be set up any more.
+func (p *Pool) Shutdown(until time.Time) Unfinished {
+	for half := time.Until(until) / 2; p.unsentReleases() > 0 && time.Until(until) > half; {
+		time.Sleep(shutdownInterval)
+	}
+	left := Unfinished{Unsent: p.unsentReleases()}
+	p.mu.Lock()
+	for _, e := range p.endpoints {
+		e.finish()
+	}
+	p.mu.Unlock()
+	for time.Now().Before(until) && p.openConnections() > 0 {
+		time.Sleep(shutdownInterval)
+	}
+	left.Open = p.openConnections()
+	return left
+}
+
+// unsentReleases is how many releases wait for a connection.
+func (p *Pool) unsentReleases() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, e := range p.endpoints {
+		n += len(e.releases)
+	}
+	return n
+}
+
+// openConnections is how many connections are up.
+func (p *Pool) openConnections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, e := range p.endpoints {
+		n += len(e.connections)
+	}
+	return n
+}
+
 // SetUp implements core.Trunks.
 func (p *Pool) SetUp(to brookmux.SwitchID, a core.Attempt) {
 	p.mu.Lock()
--- a/internal/faulttrial/caller.go
+++ b/internal/faulttrial/caller.go
@@ -29,6 +29,9 @@
 	Redial      float64       // share of the refused that dial again at once
 	Pieces      bool          // messages are written in pieces of 1 to 20 bytes
 	Acknowledge bool          // a release is answered with 200
+	DialOnEnd   bool          // a set-up is sent with the answer to a release
+	KeepOpen    bool          // a connection that the controller has closed is kept for as long as it may be
+	ReadPause   time.Duration // before each message is read
 	StopAt      time.Duration // no new set-ups after this time of the trial
 }
 
@@ -227,8 +230,7 @@
 	x.lastUse = time.Now()
 	c.mu.Unlock()
 	if c.behaviour.Pieces {
-		writePieces(x.Conn, []byte(message))
-		return true
+		return writePieces(x.Conn, []byte(message)) == nil
 	}
 	_, err := io.WriteString(x.Conn, message)
 	return err == nil
@@ -387,8 +389,12 @@
 		if x.muted.Load() {
 			continue
 		}
+		time.Sleep(c.behaviour.ReadPause)
 		c.take(x, m)
 	}
+	if c.behaviour.KeepOpen {
+		time.Sleep(callerIdle)
+	}
 	c.ended(x)
 }
 
@@ -474,8 +480,12 @@
 			delete(c.open, id)
 		}
 		c.mu.Unlock()
-		if c.behaviour.Acknowledge {
-			c.writeTo(x, fmt.Sprintf("SIP/2.0 200 OK\r\nVia: %s\r\nCall-ID: %s\r\nCSeq: %s\r\nContent-Length: 0\r\n\r\n", m.header.Get("Via"), id, m.header.Get("Cseq")))
+		if c.behaviour.DialOnEnd {
+			c.Dial()
+		}
+		answer := fmt.Sprintf("SIP/2.0 200 OK\r\nVia: %s\r\nCall-ID: %s\r\nCSeq: %s\r\nContent-Length: 0\r\n\r\n", m.header.Get("Via"), id, m.header.Get("Cseq"))
+		if c.behaviour.Acknowledge && !c.writeTo(x, answer) {
+			x.Close() // it is broken: whatever was not read from it is lost
 		}
 	case m.status >= 200 && m.method == "INVITE":
 		c.answered(x, id, m)
--- a/internal/faulttrial/controller.go
+++ b/internal/faulttrial/controller.go
@@ -43,6 +43,11 @@
 	return longest
 }
 
+// KillAfter is the time from SIGTERM to the earliest SIGKILL.
+func (s Settings) KillAfter() time.Duration {
+	return min(s.LongestDeadline(), shutdownCounts) + shutdownMargin
+}
+
 // Controller is one border controller as it is deployed: the program's process, with files of its own.
 type Controller struct {
 	Name     string
--- a/internal/faulttrial/core.go
+++ b/internal/faulttrial/core.go
@@ -221,20 +221,26 @@
 	}
 }
 
-// send writes a line, unless the core is frozen: then it waits.
-func (x *coreConn) send(m line) {
+// encode writes a message as a line.
+func encode(m line) []byte {
+	if m.Fields == nil {
+		m.Fields = map[string]any{}
+	}
+	b, _ := json.Marshal(m) // it has no values that can't be encoded
+	return append(b, '\n')
+}
+
+// send writes a message, unless the core is frozen: then it waits.
+func (x *coreConn) send(m line) { x.sendBytes(encode(m)) }
+
+func (x *coreConn) sendBytes(b []byte) {
 	x.write.Lock()
 	defer x.write.Unlock()
 	if !x.way.core.waitThaw() || x.useless.Load() || x.silent.Load() {
 		return
 	}
-	if m.Fields == nil {
-		m.Fields = map[string]any{}
-	}
-	b, _ := json.Marshal(m) // it has no values that can't be encoded
-	b = append(b, '\n')
 	if x.way.core.behaviour.Pieces {
-		writePieces(x.Conn, b)
+		_ = writePieces(x.Conn, b)
 		return
 	}
 	_, _ = x.Write(b) // an error is the connection's end, which its reader sees
@@ -262,14 +268,15 @@
 }
 
 // writePieces writes in pieces of 1 to 20 bytes.
-func writePieces(conn net.Conn, b []byte) {
+func writePieces(conn net.Conn, b []byte) error {
 	for len(b) > 0 {
 		n := min(len(b), 1+rand.IntN(20))
 		if _, err := conn.Write(b[:n]); err != nil {
-			return
+			return err
 		}
 		b = b[n:]
 	}
+	return nil
 }
 
 // waitThaw returns once the core is not frozen, and tells whether it is alive.
@@ -446,15 +453,7 @@
 	}
 	c.drop(call)
 	c.record.Add(Event{Kind: CoreEnd, Call: call.id, Core: c.ID, Controller: call.way.controller, Text: "finished"})
-	var on *coreConn
-	if _, open := call.way.conns[call.on]; open && call.on.usable() {
-		on = call.on
-	}
-	for x := range call.way.conns {
-		if on == nil && x.usable() {
-			on = x
-		}
-	}
+	on := call.way.connectionFor(call)
 	if on == nil {
 		call.way.queued = append(call.way.queued, call.id)
 	} else {
@@ -467,6 +466,41 @@
 	}
 }
 
+// EndCalls ends all calls that stand, and writes their releases at once: those of a connection's calls in one piece on it.
+func (c *CoreProcess) EndCalls() {
+	c.mu.Lock()
+	bursts := map[*coreConn][]byte{}
+	for _, call := range c.calls {
+		on := call.way.connectionFor(call)
+		if on == nil || !call.stands {
+			continue
+		}
+		call.way.recent = append(call.way.recent, sentRelease{call.id, time.Now()})
+		c.drop(call)
+		c.record.Add(Event{Kind: CoreEnd, Call: call.id, Core: c.ID, Controller: call.way.controller, Text: "finished"})
+		c.record.Add(Event{Kind: CoreRelease, Call: call.id, Core: c.ID, Controller: call.way.controller})
+		bursts[on] = append(bursts[on], encode(line{Type: "release", ID: call.id, Cause: 16})...)
+	}
+	c.mu.Unlock()
+	for x, burst := range bursts {
+		x.sendBytes(burst)
+	}
+}
+
+// connectionFor is the connection that a core sends on what concerns a call: that of its set-up, or else any open one. The
+// lock is held.
+func (w *way) connectionFor(call *coreCall) *coreConn {
+	if _, open := w.conns[call.on]; open && call.on.usable() {
+		return call.on
+	}
+	for x := range w.conns {
+		if x.usable() {
+			return x
+		}
+	}
+	return nil
+}
+
 // released takes a release from the controller.
 func (c *CoreProcess) released(id string) {
 	c.mu.Lock()
--- a/internal/faulttrial/incident_test.go
+++ b/internal/faulttrial/incident_test.go
@@ -282,3 +282,38 @@
 		})
 	}
 }
+
+// TestDrainTellsReleases guards against releases that are lost in the program's exit: twelve calls end at once while it
+// drains, and it ends by itself, in time, once their callers can have read of all of them.
+func TestDrainTellsReleases(t *testing.T) {
+	for name, change := range map[string]func(*CallerBehaviour){
+		"acknowledged":             func(*CallerBehaviour) {},
+		"one connection":           func(b *CallerBehaviour) { b.Connections = 1 },
+		"read slowly":              func(b *CallerBehaviour) { b.Connections, b.ReadPause = 1, 40*time.Millisecond },
+		"set-up with each":         func(b *CallerBehaviour) { b.DialOnEnd = true },
+		"never acknowledged":       func(b *CallerBehaviour) { b.Acknowledge = false },
+		"never acknowledged, kept": func(b *CallerBehaviour) { b.Acknowledge, b.KeepOpen = false, true },
+	} {
+		for play := range 4 {
+			t.Run(fmt.Sprintf("%s, play %d", name, play), func(t *testing.T) {
+				t.Parallel()
+				l := newTestLab(t, func(c *LabConfig) { change(&c.Callers) })
+				standOn(t, l, 12)
+				l.Controller(0).Signal(syscall.SIGTERM)
+				l.Callers(0).Pause(true)
+				time.Sleep(1500 * time.Millisecond)
+				l.Core(1).EndCalls()
+				l.Core(2).EndCalls()
+				select {
+				case <-l.Controller(0).Exited():
+				case <-time.After(l.Settings.KillAfter() - 1500*time.Millisecond):
+					require.Fail(t, "the program has not ended when it may be killed")
+				}
+				time.Sleep(releaseTold)
+				verdict := requireKept(t, l)
+				require.Zero(t, verdict.Excused[excuseRestarted])
+				require.Empty(t, untold(l), "the ends of all calls are told")
+			})
+		}
+	}
+}
--- a/internal/faulttrial/run.go
+++ b/internal/faulttrial/run.go
@@ -266,11 +266,6 @@
 	x.modes--
 }
 
-// killAfter is the time from SIGTERM to the earliest SIGKILL.
-func (p Plan) killAfter() time.Duration {
-	return min(p.Settings.LongestDeadline(), shutdownCounts) + shutdownMargin
-}
-
 // restart ends a controller and starts it again. Callers go on using open connections until the kill, and come again at
 // once after the start.
 func (x *player) restart(i int, planned bool) {
@@ -283,7 +278,7 @@
 		controller.Signal(syscall.SIGTERM)
 		time.AfterFunc(newConnectionsFor, func() { callers.Pause(true) })
 		select {
-		case <-time.After(x.killAfter()):
+		case <-time.After(x.Settings.KillAfter()):
 		case <-controller.Exited():
 		}
 	}
@@ -297,7 +292,7 @@
 	var all sync.WaitGroup
 	for i := range x.Controllers {
 		all.Go(func() { x.restart(i, true) })
-		time.Sleep(x.killAfter() / 2)
+		time.Sleep(x.Settings.KillAfter() / 2)
 	}
 	all.Wait()
 }
--- a/internal/playback/actor.go
+++ b/internal/playback/actor.go
@@ -207,6 +207,9 @@
 
 // read reads one message.
 func (a *actor) read(closing bool) ([]byte, error) {
+	if a.name[0] == 'c' {
+		return a.readLine(closing) // from any of its connections: the present one may have ended
+	}
 	if err := a.conn.SetReadDeadline(time.Now().Add(patience)); err != nil {
 		return nil, err
 	}
@@ -219,8 +222,6 @@
 		b := make([]byte, int(head[6])<<8|int(head[7]))
 		_, err = io.ReadFull(a.r, b)
 		return b, err
-	case a.name[0] == 'c':
-		return a.readLine(closing)
 	}
 	var raw bytes.Buffer
 	for n := 0; ; {
--- a/internal/playback/playback.go
+++ b/internal/playback/playback.go
@@ -30,6 +30,7 @@
 
 import (
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -73,6 +74,9 @@
 	}
 }
 
+// errNoEnd tells that the program goes on though it was told to end and nothing is left to it.
+var errNoEnd = errors.New("the program does not end")
+
 // stage is a play under way.
 type stage struct {
 	t       *testing.T
@@ -214,7 +218,7 @@
 		s.stopped = true
 		s.stop()
 	case name == "program" && verb == "exits":
-		require.NoError(s.t, s.process.Wait(), "%s", s.log)
+		require.NoError(s.t, s.exited(), "%s", s.log)
 	case name == "program" && verb == "reloads":
 		for line := range strings.Lines(payload) {
 			old, new, ok := strings.Cut(strings.TrimSpace(line), " => ")
@@ -350,7 +354,7 @@
 		s.stop()
 	}
 	s.endCalls()
-	require.NoError(s.t, s.process.Wait(), "%s", s.log)
+	require.NoError(s.t, s.exited(), "%s", s.log)
 	for _, a := range s.actors {
 		if a.name[0] == 'c' {
 			require.Empty(s.t, s.ledger.repeated(a.name, a.rest()), "%s got more than the steps say", a.name)
@@ -378,11 +382,24 @@
 	}
 }
 
+// exited waits for the program's end and returns how it ended.
+func (s *stage) exited() error {
+	ended := make(chan error, 1)
+	go func() { ended <- s.process.Wait() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(patience):
+		return errNoEnd
+	}
+}
+
 // close frees what a failed play leaves open.
 func (s *stage) close() {
 	if s.process.Wait != nil {
 		s.stop()
-		_ = s.process.Wait() // a failure was reported before
+		s.endCalls()
+		_ = s.exited() // a failure was reported before
 	}
 	s.names.Close()
 	for _, a := range s.actors {
--- a/internal/sipfront/conn.go
+++ b/internal/sipfront/conn.go
@@ -46,6 +46,7 @@
 
 	mu      sync.Mutex
 	over    bool            // nothing more is taken
+	parted  bool            // its writing half has been ended, in order
 	invites map[string]open // set-ups that are owed an answer
 	byes    map[string]sent // releases not yet heard
 }
@@ -87,15 +88,26 @@
 	} else if err != nil && !errors.Is(err, io.EOF) {
 		c.front.log.Debug("caller connection over", "error", err)
 	}
-	c.front.resendReleases(c) // not only once the caller has had its time to read what was left
+	if !c.readToEnd(err) {
+		c.front.resendReleases(c) // not only once the caller has had its time to read what was left
+	}
 	if gone := (*net.OpError)(nil); errors.Is(err, io.EOF) || errors.As(err, &gone) && !gone.Timeout() {
 		c.Finish() // the caller has ended it
+		<-c.Done()
+		c.Close()
 	} else {
 		c.Part()
 	}
 	c.front.gone(c)
 }
 
+// readToEnd tells whether the caller has ended the connection after all that was written on it, by the error of its reader.
+func (c *conn) readToEnd(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.parted && errors.Is(err, io.EOF)
+}
+
 // end marks the connection as over and returns the set-ups that were open on it.
 func (c *conn) end() []string {
 	c.mu.Lock()
@@ -319,6 +331,40 @@
 	return idle
 }
 
+// part ends the writing half of a connection with nothing open, after what is queued, and tells whether it did. What the
+// caller still sends is read until it ends the connection as well, for a time at most: a close would discard what the
+// caller has not read. A set-up that is read after that is not taken, as with evict. The front's lock is held.
+func (c *conn) part(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.over || len(c.invites) > 0 {
+		return false
+	}
+	c.over, c.parted = true, true
+	c.HalfClose()
+	time.AfterFunc(c.front.within(now, partWithin), c.Close)
+	return true
+}
+
+// unsettled tells whether something has come on the connection of late, or the acknowledgement of a release may. The
+// front's lock is held.
+func (c *conn) unsettled(now time.Time) bool {
+	if now.UnixNano()-c.last.Load() < int64(drainIdle) {
+		return true
+	}
+	if !c.front.acknowledged.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.byes {
+		if now.Sub(s.at) < c.front.within(s.at, acknowledgedWithin) {
+			return true
+		}
+	}
+	return false
+}
+
 // Stands implements core.Caller.
 func (c *conn) Stands(key string, description []byte) {
 	c.faults.Store(0)
@@ -390,6 +436,13 @@
 	return out
 }
 
+// releasesOut is how many releases are not acknowledged.
+func (c *conn) releasesOut() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.byes)
+}
+
 // unreadReleases lists the releases that may not have been read.
 func (c *conn) unreadReleases() []release {
 	c.mu.Lock()
--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -29,6 +29,12 @@
 	maxReleaseSent = 5                      // times in all
 	drainKeep      = 800 * time.Millisecond // after SIGTERM, connections stay for so long in any case
 	drainIdle      = 100 * time.Millisecond // and then until nothing has come on them for so long
+
+	acknowledgedWithin = 500 * time.Millisecond // a drained connection stays so long for the acknowledgement of a release
+	partWithin         = time.Second            // and so long for its caller to end it, after its writing half was ended
+	endLeast           = 100 * time.Millisecond // both are cut short before the program may be killed, to this at least
+	killReserve        = 250 * time.Millisecond // by so much, for the cores
+	shutdownInterval   = 10 * time.Millisecond
 )
 
 // Engine is what the front hands requests to. *core.Engine is one.
@@ -56,6 +62,7 @@
 
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
+	kill    time.Time        // when the program may be killed, zero while it has not been told to end
 	unsent  []release        // no connection was open for them
 	callers map[string]*conn // of the calls that stand: the connection of their set-up
 }
@@ -256,27 +263,15 @@
 	return false
 }
 
-// closeIdle ends the connections on which nothing is left. A set-up that crosses that is sent again by its caller.
+// closeIdle parts with the connections on which nothing is left. A set-up that crosses that is sent again by its caller.
 func (f *Front) closeIdle(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.conns {
-		if c.standing.Load() == 0 && now.UnixNano()-c.last.Load() > int64(drainIdle) && c.evict() {
-			delete(f.conns, c)
-		}
-	}
-}
-
-// Quiet tells whether no connection has brought anything for a while.
-func (f *Front) Quiet() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for c := range f.conns {
-		if c.heard.Load() && time.Now().UnixNano()-c.last.Load() < int64(drainIdle) {
-			return false
+		if c.standing.Load() == 0 && !c.unsettled(now) {
+			c.part(now)
 		}
 	}
-	return true
 }
 
 // resendReleases sends the releases that may not have been read on a connection that is over on another.
@@ -330,7 +325,46 @@
 	f.release(nil, release{key: key, cause: cause, at: time.Now()})
 }
 
-// Close ends all connections once what is queued on them has been written.
+// Drain tells when the program may be killed, once it has been told to end.
+func (f *Front) Drain(kill time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.kill = kill
+}
+
+// within cuts a wait that begins at a time short of the kill, where that is ahead. The lock is held.
+func (f *Front) within(from time.Time, wait time.Duration) time.Duration {
+	if left := f.kill.Sub(from); left > 0 {
+		return max(endLeast, min(wait, left-killReserve))
+	}
+	return wait
+}
+
+// Unfinished is what a Shutdown has left, by reason.
+type Unfinished struct {
+	Unacknowledged int // releases written on connections that their callers had not ended
+	Unsent         int // releases for which there was no connection
+	Open           int // connections that their callers had not ended
+}
+
+// Shutdown ends all connections in order, once no call is left: each when it is settled, and those that never are when it
+// is time. It returns once their callers have ended them too, at the given time at the latest. Meanwhile the engine has to
+// go on: set-ups that still come are owed their refusals.
+func (f *Front) Shutdown(until time.Time) Unfinished {
+	for now := time.Now(); now.Before(until) && f.partSettled(now, until) > 0; now = time.Now() {
+		time.Sleep(shutdownInterval)
+	}
+	f.mu.Lock()
+	left := Unfinished{Unsent: len(f.unsent), Open: len(f.conns)}
+	for c := range f.conns {
+		left.Unacknowledged += c.releasesOut()
+	}
+	f.mu.Unlock()
+	f.Close()
+	return left
+}
+
+// Close ends all connections, whether what was written on them has been read or not.
 func (f *Front) Close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -342,6 +376,20 @@
 	}
 }
 
+// partSettled parts with the connections that are settled, or with all when there is just time for that, and returns how
+// many there are.
+func (f *Front) partSettled(now, until time.Time) int {
+	last := until.Sub(now) <= partWithin
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if last || !c.unsettled(now) {
+			c.part(now)
+		}
+	}
+	return len(f.conns)
+}
+
 // SetInService tells whether tests pass. Calls are taken all the same.
 func (f *Front) SetInService(in bool) { f.out.Store(!in) }
 
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -95,7 +95,8 @@
 	queue chan []byte
 	end   chan struct{}
 	once  sync.Once
-	half  atomic.Bool // Finish leaves the connection open for reading
+	half  atomic.Bool   // Finish leaves the connection open for reading
+	done  chan struct{} // closed when nothing more is written
 }
 
 // NewWriter returns a Writer on conn and starts its goroutine, which ends with Close.
@@ -103,7 +104,7 @@
 	if t, ok := conn.(*net.TCPConn); ok {
 		_ = t.SetKeepAlivePeriod(keepProbe) // only a help: deadlines hold without it
 	}
-	w := &Writer{conn: conn, queue: make(chan []byte, writeQueue), end: make(chan struct{})}
+	w := &Writer{conn: conn, queue: make(chan []byte, writeQueue), end: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -130,6 +131,9 @@
 	w.conn.Close()
 }
 
+// Done is closed once nothing more is written: what was queued has been, or the connection is over.
+func (w *Writer) Done() <-chan struct{} { return w.done }
+
 // Finish writes what is queued, then ends the connection.
 func (w *Writer) Finish() {
 	select {
@@ -171,6 +175,7 @@
 
 // run writes what is queued, joining messages that wait.
 func (w *Writer) run() {
+	defer close(w.done)
 	defer w.hangUp()
 	buf := make([]byte, 0, 1024)
 	for {
