--- a/internal/playback/discovery.go
+++ b/internal/playback/discovery.go
@@ -12,7 +12,7 @@
 
 // listenNames opens the name service.
 func (s *stage) listenNames() {
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	conn, err := net.ListenPacket("udp", net.JoinHostPort(s.host, "0"))
 	require.NoError(s.t, err)
 	s.names = conn
 	go s.serveNames(conn)
--- a/internal/playback/playback.go
+++ b/internal/playback/playback.go
@@ -46,6 +46,8 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fastjson"
+
+	"brookmux/internal/testhost"
 )
 
 const patience = 20 * time.Second // for anything to arrive: only a failure takes so long
@@ -80,6 +82,7 @@
 // stage is a play under way.
 type stage struct {
 	t       *testing.T
+	host    string // where cores, exchanges and the name service listen
 	actors  map[string]*actor
 	words   map[string]string
 	log     *log
@@ -101,7 +104,7 @@
 func play(t *testing.T, text string, start Program) {
 	head, rest, ok := strings.Cut(text, "\n== ")
 	require.True(t, ok, "no steps")
-	s := &stage{t: t, actors: map[string]*actor{}, words: map[string]string{}, log: newLog(), last: time.Now(),
+	s := &stage{t: t, host: testhost.Host(), actors: map[string]*actor{}, words: map[string]string{}, log: newLog(), last: time.Now(),
 		ledger: newLedger(t), operators: map[string]*operator{}, had: map[string]int{}}
 	t.Cleanup(s.close)
 	s.open(head, start)
@@ -189,7 +192,7 @@
 
 // listen sets up an actor that the program connects to.
 func (s *stage) listen(name string) *actor {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(s.host, "0"))
 	require.NoError(s.t, err)
 	a := &actor{name: name, addr: l.Addr().String(), listener: l, conns: make(chan net.Conn, 64),
 		lines: make(chan line, 1024), calls: map[string]net.Conn{}, ended: map[net.Conn]bool{}, stands: map[string]bool{}, closed: make(chan struct{})}
--- a/internal/standin/loopback/core.go
+++ b/internal/standin/loopback/core.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fastjson"
+
+	"brookmux/internal/testhost"
 )
 
 const (
@@ -54,7 +56,7 @@
 
 // NewCore starts a core that does so many set-ups a second.
 func NewCore(perSecond float64, turnAway time.Duration) (*Core, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(testhost.Host(), "0"))
 	if err != nil {
 		return nil, fmt.Errorf("loopback: core: %w", err)
 	}
--- a/internal/standin/loopback/program.go
+++ b/internal/standin/loopback/program.go
@@ -8,6 +8,8 @@
 	"os/exec"
 	"path/filepath"
 	"time"
+
+	"brookmux/internal/testhost"
 )
 
 const readyWithin = 10 * time.Second
@@ -30,7 +32,7 @@
 	if p.names, err = net.ListenPacket("udp", "127.0.0.1:0"); err != nil {
 		return nil, fmt.Errorf("loopback: %w", err)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free now
+	l, err := net.Listen("tcp", net.JoinHostPort(testhost.Host(), "0")) // a port that is free now
 	if err != nil {
 		return nil, fmt.Errorf("loopback: %w", err)
 	}
