--- a/internal/faulttrial/check_test.go
+++ b/internal/faulttrial/check_test.go
@@ -40,6 +40,15 @@
 	return out
 }
 
+// without leaves kinds of events out of the record of a good call.
+func without(kinds ...Kind) []Event {
+	record := good()
+	for _, kind := range kinds {
+		record = with(record, kind)
+	}
+	return record
+}
+
 // TestCheckerFindsEachRule breaks one rule after another in the record of a good call.
 func TestCheckerFindsEachRule(t *testing.T) {
 	var cold []Event
@@ -69,11 +78,15 @@
 		"given up":          {RuleGivenUp, with(good(), CallerRelease, Event{At: 2000 * ms, Kind: CallerRelease, Call: "a", Controller: "n1"})},
 		"given up too soon": {RuleGivenUp, with(good(), CallerRelease, Event{At: 1100 * ms, Kind: Fault, Core: "s-1", Text: "hang"}, Event{At: 2000 * ms, Kind: CallerRelease, Call: "a", Controller: "n1"}, Event{At: 2500 * ms, Kind: Fault, Core: "s-1", Text: "back"})},
 		"cold":              {RuleCold, with(good(), "", append([]Event{{At: 4 * time.Second, Kind: Fault, Core: "s-2", Text: "started in the place of s-1"}}, cold...)...)},
-		"crash":             {RuleCrash, with(good(), "", Event{At: 20 * time.Second, Kind: ProcessExit, Controller: "n1", Text: "crashed: exit status 2"})},
-		"exit code":         {RuleCrash, with(good(), "", Event{At: 20 * time.Second, Kind: ProcessExit, Controller: "n1", Text: "exit status 1"})},
-		"not ready":         {RuleCrash, with(good(), ProcessReady, Event{At: 11 * time.Second, Kind: ProcessReady, Controller: "n1"})},
-		"memory":            {RuleLimit, with(good(), "", Event{At: 20 * time.Second, Kind: Usage, Controller: "n1", Memory: 97 << 20})},
-		"descriptors":       {RuleLimit, with(good(), "", Event{At: 20 * time.Second, Kind: Usage, Controller: "n1", Descriptors: 300})},
+		"not told before an exit": {RuleRelease, with(good(), CallerRelease, Event{At: 2900 * ms, Kind: ProcessSignal, Controller: "n1", Text: "terminated"},
+			Event{At: 3200 * ms, Kind: ProcessExit, Controller: "n1", Text: "0"})},
+		"stands unheard": {RuleStanding, with(without(CallerRelease, CoreEnd, CoreRelease), CallerAnswer, Event{At: 1060 * ms, Kind: CallerAnswer, Call: "a", Controller: "n1", Status: 503},
+			Event{At: 8 * time.Second, Kind: CoreReleased, Call: "a", Core: "s-1"})},
+		"crash":       {RuleCrash, with(good(), "", Event{At: 20 * time.Second, Kind: ProcessExit, Controller: "n1", Text: "crashed: exit status 2"})},
+		"exit code":   {RuleCrash, with(good(), "", Event{At: 20 * time.Second, Kind: ProcessExit, Controller: "n1", Text: "exit status 1"})},
+		"not ready":   {RuleCrash, with(good(), ProcessReady, Event{At: 11 * time.Second, Kind: ProcessReady, Controller: "n1"})},
+		"memory":      {RuleLimit, with(good(), "", Event{At: 20 * time.Second, Kind: Usage, Controller: "n1", Memory: 97 << 20})},
+		"descriptors": {RuleLimit, with(good(), "", Event{At: 20 * time.Second, Kind: Usage, Controller: "n1", Descriptors: 300})},
 		"exits after SIGTERM without an answer": {RuleAnswer, with(good(), CallerAnswer, Event{At: 900 * ms, Kind: ProcessSignal, Controller: "n1", Text: "terminated"},
 			Event{At: 1700 * ms, Kind: ProcessExit, Controller: "n1", Text: "0"})},
 	} {
@@ -91,6 +104,9 @@
 		"good":                 good(),
 		"given up by caller":   with(good(), CallerAnswer, Event{At: 1100 * ms, Kind: CallerCancel, Call: "a"}),
 		"killed":               with(good(), CallerAnswer, Event{At: 1200 * ms, Kind: ProcessExit, Controller: "n1", Text: "signal: killed"}),
+		"let go of":            with(without(CallerRelease, CoreEnd, CoreRelease), CallerAnswer, Event{At: 1060 * ms, Kind: CallerAnswer, Call: "a", Controller: "n1", Status: 503}, Event{At: 1070 * ms, Kind: CoreReleased, Call: "a", Core: "s-1"}),
+		"killed before due":    with(good(), CallerRelease, Event{At: 3200 * ms, Kind: ProcessExit, Controller: "n1", Text: "signal: killed"}),
+		"ended before the end": with(good(), CallerRelease, Event{At: 2900 * ms, Kind: ProcessExit, Controller: "n1", Text: "0"}),
 		"sent after the end":   with(good(), CallerAnswer, Event{At: 990 * ms, Kind: ProcessExit, Controller: "n1", Text: "0"}),
 		"silent for long":      with(with(with(good(), CoreEnd), CoreRelease), CallerRelease, Event{At: 1100 * ms, Kind: Fault, Core: "s-1", Text: "hang"}, Event{At: 8600 * ms, Kind: CallerRelease, Call: "a", Controller: "n1"}),
 		"hung up by caller":    with(good(), CallerRelease, Event{At: 2000 * ms, Kind: CallerHangup, Call: "a"}),
@@ -123,6 +139,7 @@
 
 // TestSoak plays a few trials with the program itself; `faultsoak run` plays many.
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(101); seed <= 106; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/faulttrial/run.go
+++ b/internal/faulttrial/run.go
@@ -12,6 +12,7 @@
 const (
 	newConnectionsFor = 300 * time.Millisecond // after SIGTERM, callers open new connections for so long
 	reloadGap         = 300 * time.Millisecond // between configurations in quick succession
+	signalGap         = 150 * time.Millisecond // between signals in a series
 	measureInterval   = 500 * time.Millisecond
 	settleAfter       = 11 * time.Second // after the last fault: a call's end is due within 8 s, and discovery is heard
 	lagInterval       = 5 * time.Millisecond
@@ -184,6 +185,12 @@
 		x.discoveryFault(s)
 	case FaultRestart, FaultKill:
 		x.restart(s.Controller, s.Kind == FaultRestart)
+	case FaultSignals:
+		go x.signalSeries(s)
+		x.restart(s.Controller, true)
+	case FaultDrainEnds:
+		time.AfterFunc(s.For, x.endCalls)
+		x.restart(s.Controller, true)
 	case FaultRestartSeries:
 		x.restartSeries()
 	case FaultReload, FaultReloadBad:
@@ -288,6 +295,28 @@
 	callers.Pause(false)
 }
 
+// signalSeries sends a controller that drains SIGTERM and SIGHUP in turn.
+func (x *player) signalSeries(s Step) {
+	for i := range s.Count {
+		time.Sleep(signalGap)
+		signal := syscall.SIGTERM
+		if i%2 == 1 {
+			signal = syscall.SIGHUP
+		}
+		x.lab.Controller(s.Controller).Signal(signal)
+	}
+}
+
+// endCalls ends the calls on all cores that are not faulty.
+func (x *player) endCalls() {
+	for n := range x.Cores {
+		if number := n + 1; x.claim(x.faulty, number) {
+			x.lab.Core(number).EndCalls()
+			x.release(x.faulty, number)
+		}
+	}
+}
+
 func (x *player) restartSeries() {
 	var all sync.WaitGroup
 	for i := range x.Controllers {
