M3UA: an association ends in order at the exit, so that its last messages are read

Seen: an association was closed at once when the program ended; a far end that answers each message fails to write, and loses what it had not read, a REL among it.

Cause: session.run closed the connection with its context, and nobody waited for it.

Change: the writing half is ended after what is queued, what comes is read until the far end ends the association, 0.2 s at most, and the program waits for that.

--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -13,6 +13,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -72,6 +73,7 @@
 		return err
 	}
 	var peering atomic.Pointer[m3ua.Server]
+	var associations sync.WaitGroup
 	engine, err := core.New(core.Config{Storm: damping, Condition: func(exchange int, c core.Condition) {
 		if s := peering.Load(); s != nil {
 			s.SetCondition(exchange, c)
@@ -132,7 +134,7 @@
 		return err
 	}
 	if conf.m3ua.Enabled {
-		if err := serveM3UA(ctx, conf, engine, links, peers, log, failed, &peering); err != nil {
+		if err := serveM3UA(ctx, conf, engine, links, peers, log, failed, &peering, &associations); err != nil {
 			return err
 		}
 	}
@@ -175,6 +177,7 @@
 	shutDown(front, links, kill, log)
 	cancel()
 	links.Wait()
+	associations.Wait()
 	return phase.To(lifecycle.Stopped)
 }
 
@@ -203,7 +206,7 @@
 
 // serveM3UA starts the second front.
 func serveM3UA(ctx context.Context, conf config, engine *core.Engine, links *trunks, peers int, log *slog.Logger,
-	failed chan<- error, peering *atomic.Pointer[m3ua.Server]) error {
+	failed chan<- error, peering *atomic.Pointer[m3ua.Server], associations *sync.WaitGroup) error {
 	if conf.m3ua.Listen != "" {
 		l, err := net.Listen("tcp", conf.m3ua.Listen)
 		if err != nil {
@@ -215,9 +218,15 @@
 		server.TellNetwork = conf.storm.Enabled && conf.storm.Told.Network
 		peering.Store(server)
 		engine.Conditions() // what has been told while nobody was there to hear it
-		go func() { failed <- server.Serve(ctx, l) }()
+		associations.Go(func() {
+			if err := server.Serve(ctx, l); err != nil {
+				failed <- err
+				return
+			}
+			server.Wait()
+		})
 	}
-	go links.m3ua.Run(ctx, engine)
+	associations.Go(func() { links.m3ua.Run(ctx, engine) })
 	return nil
 }
 
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -43,6 +43,7 @@
 	TellLevel   bool // refusals carry the automatic congestion level
 	TellNetwork bool // peers are told of exchanges that are congested or can't be reached
 
+	sessions   sync.WaitGroup
 	mu         sync.Mutex
 	peers      map[uint32]*peer // by ASP identifier
 	open       int
@@ -74,6 +75,9 @@
 	return s
 }
 
+// Wait returns once all associations are over, after Serve has returned as its context ended.
+func (s *Server) Wait() { s.sessions.Wait() }
+
 // Serve accepts associations until the context ends or the listener fails.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	defer context.AfterFunc(ctx, func() { l.Close() })()
@@ -101,7 +105,7 @@
 			conn.Close()
 			continue
 		}
-		go s.take(ctx, conn)
+		s.sessions.Go(func() { s.take(ctx, conn) })
 	}
 }
 
--- a/internal/m3ua/session.go
+++ b/internal/m3ua/session.go
@@ -15,8 +15,10 @@
 	"brookmux/internal/stream"
 )
 
-// mostFaults is how many messages at fault, one after another, end an association.
-const mostFaults = 16
+const (
+	mostFaults  = 16                     // messages at fault, one after another, that end an association
+	leaveWithin = 200 * time.Millisecond // the far end may take so long to end an association that this end has left
+)
 
 // State is that of an application server process (RFC 4666, 4.3.1).
 type State int32
@@ -101,7 +103,7 @@
 
 // run reads the association to its end. Its state is Down after that.
 func (s *session) run(ctx context.Context, beat, ack time.Duration) error {
-	defer context.AfterFunc(ctx, s.Close)()
+	defer context.AfterFunc(ctx, s.leave)()
 	done := make(chan struct{})
 	defer close(done)
 	go s.watch(done, beat, ack)
@@ -131,6 +133,13 @@
 	}
 }
 
+// leave ends the association in order: what is queued is written, and what the far end still sends is read, until it ends
+// the association as well, for a time at most.
+func (s *session) leave() {
+	s.HalfClose()
+	time.AfterFunc(leaveWithin, s.Close)
+}
+
 // watch sends heartbeats and ends an association that does not become active or does not acknowledge.
 func (s *session) watch(done chan struct{}, beat, ack time.Duration) {
 	up, tick := time.NewTimer(ack), time.NewTicker(beat)
