Tests: what comes on a core's other connections waits while the end of one is awaited

Cause: the release goes out on another connection as the first is closed. Playback reads each connection in a goroutine of its own, and nothing orders the two.

Change: lines of other connections are kept for the next steps while a step waits for the end of one. The end must still come, a line on that connection still fails the step, and what is left over is still found at the end of the play.

--- a/internal/playback/actor.go
+++ b/internal/playback/actor.go
@@ -26,6 +26,7 @@
 
 	// Of a core, to which the program has several connections:
 	lines  chan line           // what they bring
+	aside  []line              // what came on others while the end of one was waited for
 	calls  map[string]net.Conn // the one that brought a call's set-up
 	ended  map[net.Conn]bool
 	stands map[string]bool // calls that it has answered
@@ -83,26 +84,44 @@
 // beat tells whether a message is a BEAT (RFC 4666, 3.5.5).
 func beat(b []byte) bool { return len(b) > 3 && b[2] == 3 && b[3] == 3 }
 
-// readLine reads a core's next message, from whichever connection, or the end of the present one.
+// readLine reads a core's next message, from whichever connection, or the end of the present one. Where that end is waited
+// for, what comes on others meanwhile is kept for the next steps: nothing orders one connection's events and another's.
 func (a *actor) readLine(closing bool) ([]byte, error) {
 	for {
-		select {
-		case l := <-a.lines:
-			if l.err == nil {
-				a.conn = l.conn
-				a.calls[jsonID(l.text)] = l.conn
-				return l.text, nil
-			}
+		l, err := a.nextLine(closing)
+		switch {
+		case err != nil:
+			return nil, err
+		case l.err == nil && closing && l.conn != a.conn:
+			a.aside = append(a.aside, l)
+		case l.err == nil:
+			a.conn = l.conn
+			a.calls[jsonID(l.text)] = l.conn
+			return l.text, nil
+		default:
 			// One that carries no call may end at any time, as one that the program found to be of no use.
 			if a.ended[l.conn] = true; l.conn == a.conn && (closing || a.carries(l.conn)) {
 				return nil, l.err
 			}
-		case <-time.After(patience):
-			return nil, os.ErrDeadlineExceeded
 		}
 	}
 }
 
+// nextLine takes the next line, of those that were kept first, unless the end of a connection is waited for.
+func (a *actor) nextLine(closing bool) (line, error) {
+	if len(a.aside) > 0 && !closing {
+		l := a.aside[0]
+		a.aside = a.aside[1:]
+		return l, nil
+	}
+	select {
+	case l := <-a.lines:
+		return l, nil
+	case <-time.After(patience):
+		return line{}, os.ErrDeadlineExceeded
+	}
+}
+
 // carries tells whether a set-up that a connection brought is not answered yet.
 func (a *actor) carries(conn net.Conn) bool {
 	for k, c := range a.calls {
@@ -151,6 +170,9 @@
 	a.following.Wait()
 	close(a.lines)
 	var out strings.Builder
+	for _, l := range a.aside {
+		out.Write(l.text)
+	}
 	for l := range a.lines {
 		out.Write(l.text)
 	}
