liveness: keep merged processes out of walks over the list

What callers saw: the controller crashed about a second after a core had reset its idle connections (panic in evaluateState, slice bounds out of range [:-1]); set-ups that waited for an answer were lost.

Cause: Tick and renew walked over a copy of Lease.processes while tryMerge removed entries of the list. A record merged into an earlier one was visited again, its index was -1, and the listed record was merged into it. The list was then empty while connections still led to it.

--- a/internal/liveness/lease.go
+++ b/internal/liveness/lease.go
@@ -192,26 +192,30 @@
 	}
 }
 
-// renew records a sign of life of a connection's process. Later processes that were seen alive are the same process,
-// because this one is still alive after they were reached at its address.
+// renew records a sign of life of a connection's process.
 func (l *Lease) renew(c *connection, now time.Duration) {
 	c.seenAlive = true
 	p := c.process
 	p.seenAlive, p.lastAliveAt, p.checkFailed = true, now, false
+	l.mergeSeenAfter(p)
+	// tryMerge removes only processes that follow the one it is given, so the index stays valid.
+	for i := 0; i < slices.Index(l.processes, c.process); i++ {
+		l.tryMerge(l.processes[i], now)
+	}
+	l.mergeSeenAfter(c.process)
+}
+
+// mergeSeenAfter merges the processes after p that were seen alive into p. They are the same process if p is alive now,
+// after they were reached at its address.
+func (l *Lease) mergeSeenAfter(p *process) {
 	for _, later := range l.laterProcesses(p) {
 		if later.seenAlive {
 			l.merge(p, later)
 		}
 	}
-	for _, earlier := range slices.Clone(l.processes) {
-		if earlier == p {
-			return
-		}
-		l.tryMerge(earlier, now)
-	}
 }
 
-// laterProcesses returns the processes that follow p, in order.
+// laterProcesses returns the processes that follow p, which has to be listed, in order.
 func (l *Lease) laterProcesses(p *process) []*process {
 	index := slices.Index(l.processes, p)
 	return slices.Clone(l.processes[index+1:])
@@ -232,7 +236,7 @@
 	if from.usedKnown {
 		into.used, into.usedKnown = from.used, true
 	}
-	l.processes = slices.DeleteFunc(l.processes, func(p *process) bool { return p == from })
+	l.remove(from)
 }
 
 // evaluateCall handles a message that names a call. Its sender is the process that answered the call.
@@ -252,7 +256,8 @@
 	if !l.statesReliable() {
 		return
 	}
-	for _, p := range slices.Backward(slices.Clone(l.processes[:slices.Index(l.processes, sender)])) {
+	for i := slices.Index(l.processes, sender) - 1; i >= 0; i-- {
+		p := l.processes[i]
 		width := p.width(now - settleTime)
 		switch {
 		case width == 0:
@@ -335,15 +340,15 @@
 	delete(p.connections, id)
 	delete(l.connections, id)
 	if len(p.connections) == 0 && len(p.calls) == 0 && p != l.newest() {
-		l.drop(p)
+		l.remove(p)
 	}
 }
 
 // newest returns the process that is at the core's address now.
 func (l *Lease) newest() *process { return l.processes[len(l.processes)-1] }
 
-// drop removes a process.
-func (l *Lease) drop(p *process) {
+// remove takes a process off the list.
+func (l *Lease) remove(p *process) {
 	l.processes = slices.DeleteFunc(l.processes, func(q *process) bool { return q == p })
 }
 
@@ -408,7 +413,9 @@
 	if l.Calls() == 0 {
 		return d
 	}
-	for _, p := range slices.Clone(l.processes) {
+	// Only tryMerge changes the list here. It removes processes that follow p, whose calls then belong to p.
+	for i := 0; i < len(l.processes); i++ {
+		p := l.processes[i]
 		if len(p.calls) == 0 {
 			continue
 		}
@@ -420,11 +427,10 @@
 		l.tryMerge(p, now)
 		l.requestCheck(p, now, &d)
 	}
-	for _, p := range slices.Clone(l.processes) {
-		if len(p.calls) == 0 && len(p.connections) == 0 && p != l.newest() {
-			l.drop(p)
-		}
-	}
+	newest := l.newest()
+	l.processes = slices.DeleteFunc(l.processes, func(p *process) bool {
+		return p != newest && len(p.calls) == 0 && len(p.connections) == 0
+	})
 	return d
 }
 
@@ -479,9 +485,9 @@
 	return e
 }
 
-// tryMerge merges p with a later process that was seen alive if there is no evidence against it: no check has failed
-// and the group states cannot decide. The absence of messages on the connections of p is no such evidence, because an
-// idle core sends nothing.
+// tryMerge merges a later process that was seen alive into p if there is no evidence against it: no check has failed and
+// the group states cannot decide. The absence of messages on the connections of p is no such evidence, because an idle
+// core sends nothing.
 func (l *Lease) tryMerge(p *process, now time.Duration) {
 	if p.lacksCalls(now) {
 		return // the next Tick expires its calls
--- a/internal/liveness/lease_test.go
+++ b/internal/liveness/lease_test.go
@@ -384,3 +384,65 @@
 	require.Empty(t, c.expired)
 	require.Len(t, c.lease.processes, 1)
 }
+
+// requireListed checks that the lease lists each process once, that each open connection leads to a listed process, and
+// that each call is held once.
+func requireListed(t *testing.T, l *Lease) {
+	t.Helper()
+	connections, calls := 0, map[string]bool{}
+	for i, p := range l.processes {
+		require.NotContains(t, l.processes[:i], p, "a process is listed twice")
+		for id, c := range p.connections {
+			require.Same(t, c, l.connections[id], "connection %d", id)
+			require.Same(t, p, c.process, "connection %d", id)
+			connections++
+		}
+		for id := range p.calls {
+			require.False(t, calls[id], "%s is held by two processes", id)
+			calls[id] = true
+		}
+	}
+	require.Len(t, l.connections, connections, "a connection leads to a process that is not listed")
+}
+
+// TestResetWhileReleaseIsQueued guards against a crash: a core resets its connections while the release of a call that
+// has ended at both ends is queued, and the processes before and after the reset turn out to be one, each with a call.
+func TestResetWhileReleaseIsQueued(t *testing.T) {
+	c := newCore(t)
+	c.used = 1 // call0 has ended
+	c.lease.MessageReceived(1, c.now, c.state())
+	c.disconnectAll(EndReset)
+	for range 3 {
+		c.dial()
+	}
+	c.lease.CallEnded("call0")
+	c.advance(600 * time.Millisecond)
+	c.used = 2
+	c.lease.CallAnswered("later", 1, c.lastID, c.now)
+	c.advance(ReleaseGrace)
+	requireListed(t, c.lease)
+	require.Equal(t, 2, c.lease.Calls())
+	c.lease.MessageReceived(c.lastID, c.now, c.state())
+	c.advance(10 * time.Second)
+	require.Empty(t, c.expired)
+}
+
+// TestMessageMergesEarlierProcesses guards against a crash: a message, before the tick that would do so, shows that two
+// processes that were reached before its sender are one.
+func TestMessageMergesEarlierProcesses(t *testing.T) {
+	c := newCore(t)
+	c.used = 1 // call0 has ended
+	c.disconnectAll(EndReset)
+	c.dial()
+	c.lease.CallEnded("call0")
+	require.Len(t, c.lease.processes, 2)
+	c.now += ReleaseGrace
+	c.statesOnConnect = false
+	c.dial()
+	c.lease.MessageReceived(c.lastID, c.now, Message{})
+	requireListed(t, c.lease)
+	require.Equal(t, 1, c.lease.Calls())
+	c.statesOnConnect = true
+	c.advance(10 * time.Second)
+	require.Empty(t, c.expired)
+}
--- a/internal/liveness/model_test.go
+++ b/internal/liveness/model_test.go
@@ -51,8 +51,11 @@
 	queuedReleases []string // calls whose releases wait for a connection
 	expired        []Expiry
 	callCount      int
-	setUpTimeout   time.Duration // time after which a set-up is abandoned
-	meanHold       time.Duration // mean holding time of a call
+	standing       map[string]bool // calls that the controller holds
+	setUpTimeout   time.Duration   // time after which a set-up is abandoned
+	releaseWait    time.Duration   // time from the end of a call to its release
+	bothHangUp     bool            // callers hang up too, within releaseWait after the core
+	meanHold       time.Duration   // mean holding time of a call
 	dialing        int
 }
 
@@ -82,6 +85,11 @@
 		m.closeUnresponsive()
 		d := m.lease.Tick(m.now)
 		m.expired = append(m.expired, d.Expired...)
+		for _, x := range d.Expired {
+			for _, call := range x.Calls {
+				delete(m.standing, call)
+			}
+		}
 		if d.Check && m.dialing < modelConnections {
 			m.replaceConnection(d)
 		}
@@ -110,7 +118,7 @@
 		onConnect()
 		m.sendState(c)
 		for _, call := range m.queuedReleases {
-			m.send(c, Message{Call: call}, func() { m.lease.CallEnded(call) })
+			m.send(c, Message{Call: call}, func() { m.hangUp(call) })
 		}
 		m.queuedReleases = nil
 	})
@@ -191,15 +199,30 @@
 		if c.pending[id] {
 			m.endSetUp(c, id)
 			m.lease.CallAnswered(id, 1, c.id, m.now)
+			m.standing[id] = true
 		}
 	})
 	m.schedule(m.randomDuration(m.meanHold/5, 2*m.meanHold), func() { m.endCall(c, id) })
 }
 
-// endCall ends a call at the core, which sends the release, or queues it while no connection is usable.
+// hangUp ends a call at the controller.
+func (m *model) hangUp(id string) {
+	m.lease.CallEnded(id)
+	delete(m.standing, id)
+}
+
+// endCall ends a call at the core, which sends the release after releaseWait.
 func (m *model) endCall(c *modelConnection, id string) {
 	m.used--
 	m.sendStates()
+	if m.bothHangUp {
+		m.schedule(m.randomDuration(0, m.releaseWait), func() { m.hangUp(id) })
+	}
+	m.schedule(m.releaseWait, func() { m.sendRelease(c, id) })
+}
+
+// sendRelease sends the core's release of a call, or queues it while no connection is usable.
+func (m *model) sendRelease(c *modelConnection, id string) {
 	open := slices.DeleteFunc(slices.Clone(m.open), func(x *modelConnection) bool { return x.forgotten })
 	if len(open) == 0 {
 		m.queuedReleases = append(m.queuedReleases, id)
@@ -209,7 +232,7 @@
 	if slices.Contains(open, c) {
 		on = c
 	}
-	m.send(on, Message{Call: id}, func() { m.lease.CallEnded(id) })
+	m.send(on, Message{Call: id}, func() { m.hangUp(id) })
 }
 
 // closeUnresponsive closes a connection that has not responded within modelResponseTimeout, unless another connection
@@ -225,16 +248,31 @@
 		for id := range c.pending {
 			m.endSetUp(c, id)
 		}
-		m.open = slices.DeleteFunc(m.open, func(x *modelConnection) bool { return x == c })
-		m.lease.Disconnected(c.id, m.now, EndLocal)
-		m.dial(func() {})
+		m.disconnect(c, EndLocal)
 		return
 	}
 }
 
+// disconnect ends a connection and opens another one.
+func (m *model) disconnect(c *modelConnection, end End) {
+	m.open = slices.DeleteFunc(m.open, func(x *modelConnection) bool { return x == c })
+	m.lease.Disconnected(c.id, m.now, end)
+	m.dial(func() {})
+}
+
+// resetIdle resets the connections without a pending set-up.
+func (m *model) resetIdle() {
+	for _, c := range slices.Clone(m.open) {
+		if len(c.pending) == 0 {
+			m.disconnect(c, EndReset)
+		}
+	}
+}
+
 // newModel returns a model with standing calls.
 func newModel(seed uint64) *model {
-	m := &model{Rand: rand.New(rand.NewPCG(seed, 1)), now: time.Second, lease: New()}
+	m := &model{Rand: rand.New(rand.NewPCG(seed, 1)), now: time.Second, lease: New(),
+		standing: map[string]bool{}}
 	m.setUpTimeout = m.randomDuration(300*time.Millisecond, 4*time.Second)
 	m.meanHold = m.randomDuration(3*time.Second, 20*time.Second)
 	for range modelConnections {
@@ -270,3 +308,26 @@
 		require.Empty(t, m.expired, "seed %d", seed)
 	}
 }
+
+// TestResetsBySeeds guards against a lease that loses track of a process, which crashes it or leaves calls without a
+// lease. The core resets its idle connections while releases are queued and callers hang up.
+func TestResetsBySeeds(t *testing.T) {
+	for seed := range modelSeeds {
+		m := newModel(seed)
+		m.releaseWait, m.bothHangUp = m.randomDuration(0, time.Second), true
+		rate := 2 * m.Float64()
+		nextSetUp, nextReset := m.now, m.now
+		for end := m.now + modelDuration; m.now < end; m.advance(modelStep) {
+			if m.now >= nextSetUp {
+				m.setUp()
+				nextSetUp = m.now + time.Duration(m.ExpFloat64()/rate*float64(time.Second))
+			}
+			if m.now >= nextReset {
+				m.resetIdle()
+				nextReset = m.now + m.randomDuration(time.Second, 4*time.Second)
+			}
+			require.Equal(t, len(m.standing), m.lease.Calls(), "seed %d: calls without a lease", seed)
+		}
+		requireListed(t, m.lease)
+	}
+}
