sipfront: a release of an unknown call is no faulty message

Cause: BYE and CANCEL for a call that this process does not know were answered with 481 and counted towards maxFaults. After a restart they are regular: whatever ends a call may come on any connection.

TestCallsOfEarlierProcess failed before: 16 of 48 releases answered.

--- a/internal/sipfront/conn.go
+++ b/internal/sipfront/conn.go
@@ -200,7 +200,7 @@
 	case m.method == "CANCEL":
 		c.front.engine.Withdraw(c, m.callID(), func(pending, known bool) {
 			if !known {
-				c.replyFault(m, 481, "Call Does Not Exist")
+				c.replyUnknownCall(m)
 				return
 			}
 			c.reply(m, 200, "OK")
@@ -211,7 +211,7 @@
 	case m.method == "BYE":
 		c.front.engine.Hangup(c, m.callID(), m.cause(), func(known bool) {
 			if !known {
-				c.replyFault(m, 481, "Call Does Not Exist")
+				c.replyUnknownCall(m)
 				return
 			}
 			c.reply(m, 200, "OK")
@@ -297,6 +297,10 @@
 	c.reply(m, status, reason)
 }
 
+// replyUnknownCall rejects a request for a call that this process does not know. That is not a fault of the caller: after
+// a restart the call may be one of an earlier process.
+func (c *conn) replyUnknownCall(m message) { c.reply(m, 481, "Call Does Not Exist") }
+
 // reply sends a response without a body.
 func (c *conn) reply(m message, status int, reason string) {
 	c.Send(appendBody(m.response(status, reason), nil))
--- /dev/null
+++ b/internal/sipfront/open_setups_test.go
@@ -0,0 +1,103 @@
+package sipfront
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"brookmux/internal/core"
+	"brookmux/internal/lifecycle"
+)
+
+const (
+	inviteFormat = "INVITE sip:aa@net SIP/2.0\r\nCall-ID: %s\r\nCSeq: 1 INVITE\r\nX-Tier: %s\r\nX-Deadline: 3000\r\n" +
+		"X-Attrs: dest:1;width:1;via:-1\r\nContent-Length: 0\r\n\r\n"
+	requestFormat = "%s sip:aa@net SIP/2.0\r\nCall-ID: %016x\r\nCSeq: 1 %[1]s\r\nContent-Length: 0\r\n\r\n"
+)
+
+// recordingEngine records the set-ups that are offered and lost. It knows no other calls.
+type recordingEngine struct {
+	stubEngine
+	offered []core.Request
+	lost    []string
+}
+
+func (e *recordingEngine) Offer(r core.Request) { e.offered = append(e.offered, r) }
+func (e *recordingEngine) CallerLost(_ core.Caller, keys []string) {
+	e.lost = append(e.lost, keys...)
+}
+func (e *recordingEngine) Hangup(_ core.Caller, _ string, _ core.Cause, done func(bool)) { done(false) }
+func (e *recordingEngine) Withdraw(_ core.Caller, _ string, done func(bool, bool)) {
+	done(false, false)
+}
+
+// peer is the caller's end of a connection. It records the status lines of the responses.
+type peer struct {
+	net.Conn
+	statusLines []string
+	ended       bool
+}
+
+// count returns the number of responses with a status.
+func (p *peer) count(status string) (n int) {
+	synctest.Wait()
+	for _, line := range p.statusLines {
+		if strings.Contains(line, status) {
+			n++
+		}
+	}
+	return n
+}
+
+// connect returns a front with one connected caller, which has one set-up open.
+func connect(t *testing.T) (*recordingEngine, *peer) {
+	phase := &lifecycle.Lifecycle{}
+	require.NoError(t, phase.Advance(lifecycle.Ready))
+	e := &recordingEngine{}
+	f := New(e, phase, 10, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	near, far := net.Pipe()
+	f.addConn(halfCloser{near})
+	p := &peer{Conn: far}
+	go func() {
+		s := bufio.NewScanner(far)
+		for s.Scan() {
+			if strings.HasPrefix(s.Text(), "SIP/2.0 ") {
+				p.statusLines = append(p.statusLines, s.Text())
+			}
+		}
+		p.ended = true
+	}()
+	t.Cleanup(func() { far.Close(); near.Close() })
+	fmt.Fprintf(far, inviteFormat, "00000000000000a1", "page")
+	synctest.Wait()
+	require.Len(t, e.offered, 1)
+	return e, p
+}
+
+// TestCallsOfEarlierProcess guards against a connection that ends, with its open set-ups, because callers release or
+// cancel calls of an earlier process.
+func TestCallsOfEarlierProcess(t *testing.T) {
+	for _, method := range []string{"BYE", "CANCEL"} {
+		synctest.Test(t, func(t *testing.T) {
+			e, p := connect(t)
+			for i := range 3 * maxFaults {
+				fmt.Fprintf(p, requestFormat, method, i)
+			}
+			require.Equal(t, 3*maxFaults, p.count("481"), method)
+			e.offered[0].Caller.Answered(e.offered[0].Key, nil)
+			require.Equal(t, 1, p.count("200"), method)
+			time.Sleep(idleTimeout / 2)
+			synctest.Wait()
+			require.False(t, p.ended, method)
+			p.Close()
+		})
+	}
+}
