sipfront: answer the open set-ups of a connection before closing it

What callers saw: a connection that the controller closed for what it had received ended without an answer to the set-ups open on it.

Cause: readMessages returned after too many faulty messages, a reused id, an unreadable or an incomplete message, and serve withdrew the open set-ups.

Evidence: TestOpenSetUpsAreAnswered has the four ways; it failed before (set-up reported as lost).

Why it works: where messages can still be told apart, the connection is read on until no set-up is open; where not, input is discarded until then.

--- a/internal/sipfront/conn.go
+++ b/internal/sipfront/conn.go
@@ -19,7 +19,8 @@
 	firstMessageTimeout = 2500 * time.Millisecond // from the start of a connection to the end of its first message
 	messageTimeout      = 2 * time.Second         // from the first byte of a message to its last
 	idleTimeout         = 10 * time.Second        // without open set-ups or calls; callers close theirs after 4 s
-	maxFaults           = 16                      // faulty messages, without a successful set-up, that end it
+	maxFaults           = 16                      // faulty messages, without a successful set-up, that end it when idle
+	discardInterval     = 50 * time.Millisecond   // between two checks whether the open set-ups are answered
 	maxPendingSetUps    = 512                     // per connection
 )
 
@@ -41,6 +42,7 @@
 	received     atomic.Bool  // a complete message has been received
 	usedForCalls atomic.Bool  // has received more than OPTIONS: a caller that only tests may never read releases
 	hadCall      atomic.Bool  // a set-up received on it resulted in a standing call
+	keyReused    bool         // a Call-ID was used for two set-ups; only for the reading goroutine
 
 	standingCalls atomic.Int32 // standing calls set up on it; changed under the front's lock
 
@@ -82,10 +84,14 @@
 	return host
 }
 
-// serve handles messages until reading ends, reports the pending set-ups to the engine as lost, resends the releases
-// that may not have been read, and closes the connection.
+// serve handles messages until reading ends. If this side ends it, the pending set-ups are answered first; otherwise
+// they are reported to the engine as lost. It then resends the releases that may not have been read, and closes the
+// connection.
 func (c *conn) serve(r *stream.Reader) {
 	err := c.readMessages(r)
+	if !connectionEnded(err) {
+		c.awaitAnswers()
+	}
 	if keys := c.markClosing(); len(keys) > 0 {
 		c.front.engine.CallerLost(c, keys)
 		c.front.log.Info("caller connection ended", "open", len(keys), "error", err)
@@ -95,8 +101,8 @@
 	if !c.cleanlyClosed(err) {
 		c.front.resendUnread(c) // before LingerClose, which waits for the caller to read the remaining output
 	}
-	if opErr := (*net.OpError)(nil); errors.Is(err, io.EOF) || errors.As(err, &opErr) && !opErr.Timeout() {
-		c.Finish() // the caller has closed the connection
+	if connectionEnded(err) {
+		c.Finish()
 		<-c.Done()
 		c.Close()
 	} else {
@@ -105,6 +111,27 @@
 	c.front.removeConn(c)
 }
 
+// connectionEnded reports whether an error of reading means that the connection can't be used any more, because the
+// caller or the writer has ended it.
+func connectionEnded(err error) bool {
+	opErr := (*net.OpError)(nil)
+	return errors.Is(err, io.EOF) || errors.As(err, &opErr) && !opErr.Timeout()
+}
+
+// awaitAnswers waits until no set-up is pending or the caller ends the connection. Input is read and discarded, as the
+// start of the next message in it is not known. The wait ends with the last deadline, by which the engine has answered.
+func (c *conn) awaitAnswers() {
+	for !c.idle() {
+		err := c.nc.SetReadDeadline(time.Now().Add(discardInterval))
+		if err == nil {
+			_, err = io.Copy(io.Discard, c.nc)
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+	}
+}
+
 // cleanlyClosed reports whether the caller closed the connection after the writing half was closed, and so has read
 // all that was written. err is the error that ended reading.
 func (c *conn) cleanlyClosed(err error) bool {
@@ -126,8 +153,7 @@
 	return keys
 }
 
-// readMessages handles messages until the connection ends, its framing is lost or it has sent too many faulty
-// messages.
+// readMessages handles messages until the connection ends, its framing is lost or this side has to end it.
 func (c *conn) readMessages(r *stream.Reader) error {
 	for {
 		if err := c.awaitMessage(r); err != nil {
@@ -145,12 +171,25 @@
 		if err := c.handle(m); err != nil {
 			return err
 		}
-		if c.faults.Load() >= maxFaults { // a caller may resend a rejected message without end
-			return errTooManyFaults
+		if err := c.endDue(); err != nil {
+			return err
 		}
 	}
 }
 
+// endDue returns why this side has to end the connection, or nil. While a set-up is pending, its answer is still due.
+func (c *conn) endDue() error {
+	switch {
+	case !c.idle():
+		return nil
+	case c.keyReused:
+		return errKeyReused
+	case c.faults.Load() >= maxFaults: // a caller may resend a rejected message without end
+		return errTooManyFaults
+	}
+	return nil
+}
+
 // awaitMessage waits for the first byte of a message and sets the read deadline for the rest of it. It fails once the
 // connection has been idle too long, so that idle connections do not hold descriptors that active callers need.
 func (c *conn) awaitMessage(r *stream.Reader) error {
@@ -268,7 +307,7 @@
 			c.front.engine.CallerLost(c, []string{r.Key})
 			c.reply(m, 482, "Loop Detected")
 		}
-		return errKeyReused
+		c.keyReused = true
 	case repeated: // a retransmission: the first copy receives the only answer
 		c.faults.Add(1)
 	case full:
--- a/internal/sipfront/open_setups_test.go
+++ b/internal/sipfront/open_setups_test.go
@@ -101,3 +101,49 @@
 		})
 	}
 }
+
+// TestOpenSetUpsAreAnswered guards against set-ups without an answer: this side ends a connection for messages that it
+// rejects or can't read, while a set-up is open on it. The set-up must be answered before.
+func TestOpenSetUpsAreAnswered(t *testing.T) {
+	tests := []struct {
+		name, text string
+		repeat     int
+		wait       time.Duration // until this side stops reading
+	}{
+		{"faulty messages", fmt.Sprintf(requestFormat, "REFER", 7), 2 * maxFaults, 0},
+		{"reused id", fmt.Sprintf(inviteFormat, "00000000000000b2", "page") + fmt.Sprintf(inviteFormat, "00000000000000b2", "voice"), 1, 0},
+		{"unreadable message", "NOTHING THAT CAN BE READ\r\n\r\n", 1, 0},
+		{"incomplete message", "INVITE sip:aa@net SIP/2.0\r\n", 1, messageTimeout},
+	}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			e, p := connect(t)
+			for range test.repeat {
+				fmt.Fprint(p, test.text)
+			}
+			time.Sleep(test.wait)
+			synctest.Wait()
+			require.False(t, p.ended, test.name)
+			require.NotContains(t, e.lost, e.offered[0].Key, test.name)
+			time.Sleep(400 * time.Millisecond)
+			e.offered[0].Caller.Refuse(e.offered[0].Key, core.Verdict{})
+			require.Equal(t, 1, p.count("503"), test.name)
+			fmt.Fprintf(p, requestFormat, "REFER", 8)
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+			require.True(t, p.ended, test.name)
+		})
+	}
+}
+
+// TestCallerGoneAfterUnreadableMessage guards against a wait for answers that outlives the caller's connection.
+func TestCallerGoneAfterUnreadableMessage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, p := connect(t)
+		fmt.Fprint(p, "NOTHING THAT CAN BE READ\r\n\r\n")
+		p.Close()
+		time.Sleep(2 * discardInterval)
+		synctest.Wait()
+		require.Equal(t, []string{e.offered[0].Key}, e.lost)
+	})
+}
