sipfront: send releases on tested connections if there are no others

Cause: sendReleaseElsewhere uses only connections that carried more than OPTIONS, since a caller that only tests may not read it. Without one the release was not sent at all.

--- a/internal/sipfront/conn.go
+++ b/internal/sipfront/conn.go
@@ -41,6 +41,7 @@
 	faults       atomic.Int32 // faulty messages since a set-up last succeeded
 	received     atomic.Bool  // a complete message has been received
 	usedForCalls atomic.Bool  // has received more than OPTIONS: a caller that only tests may never read releases
+	testPassed   atomic.Bool  // an OPTIONS on it was answered with 200
 	hadCall      atomic.Bool  // a set-up received on it resulted in a standing call
 	keyReused    bool         // a Call-ID was used for two set-ups; only for the reading goroutine
 
@@ -260,6 +261,8 @@
 	case m.method == "OPTIONS":
 		if c.front.available() {
 			c.reply(m, 200, "OK")
+			c.testPassed.Store(true)
+			c.front.sendAfterTest(c)
 		} else {
 			c.reply(m, 503, "Not Serving")
 		}
@@ -273,12 +276,24 @@
 // to a BYE acknowledges the release.
 func (c *conn) acknowledgeRelease(m message) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	_, ok := c.byes[m.callID()]
-	if ok && m.method == "BYE" && m.status >= 200 {
+	_, pending := c.byes[m.callID()]
+	acknowledged := pending && m.method == "BYE" && m.status >= 200
+	if acknowledged {
 		delete(c.byes, m.callID())
+	}
+	c.mu.Unlock()
+	if acknowledged {
 		c.front.callersAcknowledge.Store(true)
+		c.front.dropUnsent(m.callID())
 	}
+	return pending
+}
+
+// hasWritten reports whether a release was written to the connection and is not acknowledged.
+func (c *conn) hasWritten(key string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.byes[key]
 	return ok
 }
 
--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -21,6 +21,7 @@
 const (
 	resendWindow      = 2 * time.Second  // releases written this shortly before a connection ends are resent
 	maxUnsentReleases = 4096             // releases kept until a connection is available
+	maxTestReleases   = 64               // releases written at once to a connection that only tests
 	releaseLifetime   = 30 * time.Second // then unsent ones are dropped: the caller was informed otherwise or has left
 	acceptRetryDelay  = 20 * time.Millisecond
 
@@ -65,7 +66,7 @@
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
 	killAt    time.Time        // when the process may be killed, zero before SIGTERM
-	unsent    []release        // waiting for a connection
+	unsent    []release        // waiting for a connection that is used for calls
 	callConns map[string]*conn // connection that set up each standing call
 }
 
@@ -165,19 +166,60 @@
 }
 
 // sendUnsent sends the releases that wait for a connection, on c. It is called at the first request on c that is not
-// a test: a caller that sends nothing or only tests may never read them.
+// a test.
 func (f *Front) sendUnsent(c *conn) {
 	f.mu.Lock()
 	unsent := f.unsent
 	f.unsent = nil
 	f.mu.Unlock()
 	for _, r := range unsent {
-		if time.Since(r.endedAt) < releaseLifetime {
+		if time.Since(r.endedAt) < releaseLifetime && !c.hasWritten(r.key) {
 			f.sendRelease(c, r)
 		}
 	}
 }
 
+// sendAfterTest writes the releases that wait to c, on which a test has passed, if no connection is used for calls. A
+// caller that only tests may never read them, so they go on waiting until one is acknowledged.
+func (f *Front) sendAfterTest(c *conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.unsent) == 0 || f.hasCallConn() {
+		return
+	}
+	for _, r := range f.unsent[:min(len(f.unsent), maxTestReleases)] {
+		if time.Since(r.endedAt) < releaseLifetime && !c.hasWritten(r.key) {
+			c.writeRelease(r)
+		}
+	}
+}
+
+// hasCallConn reports whether a connection is used for calls. The lock must be held.
+func (f *Front) hasCallConn() bool {
+	for c := range f.conns {
+		if c.usedForCalls.Load() {
+			return true
+		}
+	}
+	return false
+}
+
+// keepUnsent keeps a release until a connection is used for calls, unless it is kept already or too many are. The lock
+// must be held.
+func (f *Front) keepUnsent(r release) {
+	kept := slices.ContainsFunc(f.unsent, func(x release) bool { return x.key == r.key })
+	if !kept && len(f.unsent) < maxUnsentReleases {
+		f.unsent = append(f.unsent, r)
+	}
+}
+
+// dropUnsent forgets a waiting release that a caller has acknowledged.
+func (f *Front) dropUnsent(key string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unsent = slices.DeleteFunc(f.unsent, func(r release) bool { return r.key == key })
+}
+
 // removeConn removes a connection and the records of the standing calls set up on it.
 func (f *Front) removeConn(c *conn) {
 	f.mu.Lock()
@@ -307,7 +349,7 @@
 
 // sendReleaseElsewhere sends a release on a connection other than except that is used for calls. It tries them by
 // descending rank, then by the most recent message. If none accepts it, the release is kept for later, or dropped if
-// maxUnsentReleases are kept already.
+// maxUnsentReleases are kept already, and is also written to the connection whose test has passed last.
 func (f *Front) sendReleaseElsewhere(except *conn, r release) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -326,9 +368,21 @@
 		}
 	}
 	f.log.Info("release_waits", "call", r.key, "connections", len(f.conns))
-	if len(f.unsent) < maxUnsentReleases {
-		f.unsent = append(f.unsent, r)
+	f.keepUnsent(r)
+	if c := f.lastTested(except); c != nil && !f.hasCallConn() {
+		c.writeRelease(r)
+	}
+}
+
+// lastTested returns the connection other than except whose test has passed last, or nil. The lock must be held.
+func (f *Front) lastTested(except *conn) *conn {
+	var last *conn
+	for c := range f.conns {
+		if c != except && c.testPassed.Load() && (last == nil || c.lastReceived.Load() > last.lastReceived.Load()) {
+			last = c
+		}
 	}
+	return last
 }
 
 // ReleaseOrphan releases a call whose connection is not known, for example one set up by an earlier process.
--- a/internal/sipfront/open_setups_test.go
+++ b/internal/sipfront/open_setups_test.go
@@ -39,44 +39,55 @@
 	done(false, false)
 }
 
-// peer is the caller's end of a connection. It records the status lines of the responses.
+// peer is the caller's end of a connection. It records the start lines of the messages.
 type peer struct {
 	net.Conn
-	statusLines []string
-	ended       bool
+	startLines []string
+	ended      bool
 }
 
-// count returns the number of responses with a status.
-func (p *peer) count(status string) (n int) {
+// count returns the number of messages with a method or status.
+func (p *peer) count(what string) (n int) {
 	synctest.Wait()
-	for _, line := range p.statusLines {
-		if strings.Contains(line, status) {
+	for _, line := range p.startLines {
+		if strings.Contains(line, what) {
 			n++
 		}
 	}
 	return n
 }
 
-// connect returns a front with one connected caller, which has one set-up open.
-func connect(t *testing.T) (*recordingEngine, *peer) {
+// newReadyFront returns a front that is ready, and its engine.
+func newReadyFront(t *testing.T) (*Front, *recordingEngine) {
 	phase := &lifecycle.Lifecycle{}
 	require.NoError(t, phase.Advance(lifecycle.Ready))
 	e := &recordingEngine{}
-	f := New(e, phase, 10, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	return New(e, phase, 10, slog.New(slog.NewTextHandler(io.Discard, nil))), e
+}
+
+// connectTo connects a caller to a front.
+func connectTo(t *testing.T, f *Front) *peer {
 	near, far := net.Pipe()
 	f.addConn(halfCloser{near})
 	p := &peer{Conn: far}
 	go func() {
 		s := bufio.NewScanner(far)
 		for s.Scan() {
-			if strings.HasPrefix(s.Text(), "SIP/2.0 ") {
-				p.statusLines = append(p.statusLines, s.Text())
+			if strings.HasPrefix(s.Text(), "SIP/2.0 ") || strings.HasSuffix(s.Text(), " SIP/2.0") {
+				p.startLines = append(p.startLines, s.Text())
 			}
 		}
 		p.ended = true
 	}()
 	t.Cleanup(func() { far.Close(); near.Close() })
-	fmt.Fprintf(far, inviteFormat, "00000000000000a1", "page")
+	return p
+}
+
+// connect returns the engine of a front with one connected caller, which has one set-up open.
+func connect(t *testing.T) (*recordingEngine, *peer) {
+	f, e := newReadyFront(t)
+	p := connectTo(t, f)
+	fmt.Fprintf(p, inviteFormat, "00000000000000a1", "page")
 	synctest.Wait()
 	require.Len(t, e.offered, 1)
 	return e, p
