m3ua: messages carry call keys, so calls outlive a restart of either end

Cause: messages named only the circuit, and whose call it has was known to the processes alone. The id, which JSON lines pass on, was the one field of a set-up that M3UA did not. The server could not tell a REL for its standing call from one for a set-up that it had dropped either.

Change: a server says in its ASPAC acknowledgement (info string) that it understands call keys; IAM, ANM and REL then carry the keys of both ends in a network specific facility, and each end announces its standing calls on every new association.

Open: far ends without call keys.

--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -83,7 +83,11 @@
 		}
 	}, Settings: conf.settings, Seed: conf.seed, Trunks: links, Log: log,
 		Origin: reader.Origin, Reports: reports, MaxBytes: conf.memory / 8,
-		ReleaseOrphan:  func(key string, cause core.Cause) { front.ReleaseOrphan(key, cause) },
+		ReleaseOrphan: func(key string, cause core.Cause) {
+			if s := m3uaServer.Load(); s == nil || !s.ReleaseOrphan(key, cause) {
+				front.ReleaseOrphan(key, cause)
+			}
+		},
 		OnFirstRequest: func() { _ = phase.Advance(lifecycle.Serving) }, // fails, without effect, while draining
 	})
 	if err != nil {
@@ -249,6 +253,12 @@
 	t.linkTo(to).Release(to, key, cause)
 }
 
+// ReleaseAnywhere implements core.Trunks.
+func (t *trunks) ReleaseAnywhere(key string, cause core.Cause) {
+	t.Pool.ReleaseAnywhere(key, cause)
+	t.m3ua.ReleaseAnywhere(key, cause)
+}
+
 // linkTo returns the link that serves a core.
 func (t *trunks) linkTo(id brookmux.SwitchID) core.Trunks {
 	if t.m3ua.Serves(id) {
--- a/internal/m3ua/client.go
+++ b/internal/m3ua/client.go
@@ -24,6 +24,7 @@
 	categories  map[string]uint8
 	onReachable func([]brookmux.Switch)
 	links       map[brookmux.SwitchID]*link
+	unclaimed   unclaimedReleases
 	mu          sync.Mutex // guards active, unreachable and cutTimer of the links
 }
 
@@ -116,6 +117,7 @@
 	switch {
 	case isActive:
 		l.group.associationUp(a.isupSender(client.PointCode, l.PointCode))
+		l.group.announceStanding()
 		client.publishReachable()
 		l.publishReport()
 	case wasActive:
@@ -139,8 +141,11 @@
 	active := l.active
 	l.client.mu.Unlock()
 	if !active {
-		l.client.events.Lost(brookmux.SwitchID(l.ID), nil, core.Loss{Cut: true, Outcome: lostOutcome})
-		l.group.releaseAll(core.TemporaryFailure)
+		id, events := brookmux.SwitchID(l.ID), l.client.events
+		events.Lost(id, nil, core.Loss{Cut: true, Outcome: lostOutcome})
+		for _, key := range l.group.releaseAll(core.TemporaryFailure) {
+			events.Ended(id, key, lostOutcome)
+		}
 	}
 }
 
@@ -187,7 +192,7 @@
 		o = core.Outcome{Result: brookmux.ResultConnectFailed}
 	} else if circ := l.group.seizeAny(l.Circuits, attempt.Key); circ != nil {
 		l.group.sendMessage(isupMessage{cic: circ.cic, kind: kindIAM, category: category, number: attempt.Number,
-			timeout: attempt.Timeout, description: attempt.Description})
+			timeout: attempt.Timeout, description: attempt.Description, keys: callKeys{client: attempt.Key}})
 		return
 	}
 	// The controller has already counted the attempt's circuits as in use; the report corrects that.
@@ -203,9 +208,21 @@
 	}
 }
 
-// ReleaseAnywhere implements core.Trunks. It does nothing: the circuits that an earlier process seized can't be found
-// by the keys of their calls.
-func (c *Client) ReleaseAnywhere(string, core.Cause) {}
+// ReleaseAnywhere implements core.Trunks. It releases the call of an earlier process if a far end has announced it, and
+// otherwise as soon as one does.
+func (c *Client) ReleaseAnywhere(key string, cause core.Cause) {
+	if len(c.links) == 0 {
+		return
+	}
+	c.unclaimed.add(key, cause, time.Now()) // before the search: the call may be announced meanwhile
+	for _, l := range c.links {
+		if circ := l.group.findCall(key); circ != nil {
+			c.unclaimed.take(key, time.Now())
+			l.group.release(circ, cause, 0)
+			return
+		}
+	}
+}
 
 // handleISUP handles an ISUP message from the exchange. An ANM or RLC that does not match the phase of its circuit is
 // ignored; a REL is always confirmed.
@@ -214,19 +231,13 @@
 	c, callPhase := l.group.lookup(m.cic)
 	switch m.kind {
 	case kindANM:
-		if l.group.markAnswered(c) {
+		if l.group.markAnswered(c, m.keys) {
 			events.Answered(id, c.key, m.description, l.currentReport())
+		} else if m.keys.client != "" && m.cic > 0 && int(m.cic) <= l.Circuits {
+			l.adopt(m)
 		}
 	case kindREL:
-		l.group.free(m.cic)
-		l.group.sendMessage(isupMessage{cic: m.cic, kind: kindRLC})
-		if c != nil && callPhase != releasing {
-			o := releaseOutcome(m)
-			o.Report = l.currentReport()
-			events.Ended(id, c.key, o)
-		} else {
-			l.publishReport()
-		}
+		l.handleREL(c, callPhase, m)
 	case kindRLC:
 		if callPhase == releasing {
 			l.group.free(m.cic)
@@ -239,6 +250,49 @@
 	return nil
 }
 
+// handleREL handles and confirms a REL on a circuit, c, which is nil if it is not in use here.
+func (l *link) handleREL(c *circuit, callPhase phase, m isupMessage) {
+	id, events := brookmux.SwitchID(l.ID), l.client.events
+	l.group.free(m.cic)
+	l.group.sendMessage(isupMessage{cic: m.cic, kind: kindRLC})
+	o := releaseOutcome(m)
+	o.Report = l.currentReport()
+	sameCall := c != nil && !c.keys.differ(m.keys)
+	switch {
+	case sameCall && callPhase != releasing:
+		events.Ended(id, c.key, o)
+	case sameCall || m.keys.client == "":
+		l.publishReport()
+	default: // the end of a call of an earlier process
+		if c != nil && callPhase == seized {
+			l.reportDisplaced(c)
+		}
+		events.Ended(id, m.keys.client, o)
+	}
+}
+
+// adopt handles an ANM for a call that stands on a circuit and was set up by an earlier process.
+func (l *link) adopt(m isupMessage) {
+	adopted, displaced := l.group.adopt(m.cic, m.keys.client, m.keys, nil)
+	if displaced != nil {
+		l.reportDisplaced(displaced)
+	}
+	if adopted == nil {
+		return
+	}
+	l.client.log.Info("m3ua call of an earlier process", "exchange", l.Number, "cic", m.cic, "call", adopted.key)
+	if cause, released := l.client.unclaimed.take(adopted.key, time.Now()); released {
+		l.group.release(adopted, cause, 0)
+	}
+	l.publishReport()
+}
+
+// reportDisplaced reports an attempt whose circuit the far end has in use for an earlier call: it dropped the IAM.
+func (l *link) reportDisplaced(c *circuit) {
+	o := core.Outcome{Result: brookmux.ResultMoot, Reason: brookmux.ReasonNoCircuit, Report: l.currentReport()}
+	l.client.events.Lost(brookmux.SwitchID(l.ID), []string{c.key}, core.Loss{Outcome: o})
+}
+
 // releaseOutcome translates a REL to the outcome of its attempt or call, by its cause (see the table in the README).
 func releaseOutcome(m isupMessage) core.Outcome {
 	o := core.Outcome{Cause: m.cause, Level: m.level, Result: brookmux.ResultError}
--- a/internal/m3ua/config.go
+++ b/internal/m3ua/config.go
@@ -27,6 +27,9 @@
 // it. Their callers must receive a release within 8 s.
 const maxCallEndDelay = 7500
 
+// maxCIC is the largest circuit identification code (Q.763, 1.2).
+const maxCIC = 1<<14 - 1
+
 // Timers are the protocol timers, in milliseconds. A value of 0 selects the default.
 type Timers struct {
 	Beat int `toml:"beat_ms"` // heartbeat interval; one not acknowledged before the next is due ends the association
@@ -115,7 +118,7 @@
 		}
 	}
 	for i, l := range c.Links {
-		if l.Address == "" || l.PointCode == 0 || l.Circuits < 1 || l.Circuits > 1<<14-1 {
+		if l.Address == "" || l.PointCode == 0 || l.Circuits < 1 || l.Circuits > maxCIC {
 			return fmt.Errorf("m3ua: configuration: link %d requires address, point_code and 1 to 16383 circuits", i)
 		}
 	}
--- a/internal/m3ua/group.go
+++ b/internal/m3ua/group.go
@@ -1,6 +1,7 @@
 package m3ua
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -23,7 +24,9 @@
 // circuit is a circuit in use by a call. The group's lock guards phase, rel, resendTimer and sendCount.
 type circuit struct {
 	cic         uint16
-	key         string
+	key         string   // key of the call at this end
+	keys        callKeys // as messages carry them, this end's key included
+	earlier     bool     // the call was set up by an earlier process of this end
 	phase       phase
 	rel         isupMessage // the REL to send while releasing
 	resendTimer *time.Timer // sends rel again after T1
@@ -46,14 +49,15 @@
 	return &circuitGroup{circuits: map[uint16]*circuit{}, byKey: map[string]*circuit{}, t1: t1}
 }
 
-// seize marks a circuit as in use by the call with the given key and returns it, or nil if it is already in use.
-func (g *circuitGroup) seize(cic uint16, key string, owner any) *circuit {
+// seize marks a circuit as in use by the call with the given key at this end and returns it, or nil if it is already in
+// use.
+func (g *circuitGroup) seize(cic uint16, key string, keys callKeys, owner any) *circuit {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.circuits[cic] != nil {
 		return nil
 	}
-	c := &circuit{cic: cic, key: key, owner: owner}
+	c := &circuit{cic: cic, key: key, keys: keys, owner: owner}
 	g.circuits[cic], g.byKey[key] = c, c
 	return c
 }
@@ -61,7 +65,7 @@
 // seizeAny seizes the free circuit with the lowest CIC from 1 to lastCIC, or returns nil if all are in use.
 func (g *circuitGroup) seizeAny(lastCIC int, key string) *circuit {
 	for cic := 1; cic <= lastCIC; cic++ {
-		if c := g.seize(uint16(cic), key, nil); c != nil {
+		if c := g.seize(uint16(cic), key, callKeys{client: key}, nil); c != nil {
 			return c
 		}
 	}
@@ -76,14 +80,19 @@
 	return send != nil && send(m)
 }
 
-// markAnswered marks a circuit as answered and reports whether it was seized and unanswered. A nil circuit is allowed.
-func (g *circuitGroup) markAnswered(c *circuit) bool {
+// markAnswered marks a circuit as answered and reports whether it was seized and unanswered by the call that the answer
+// names, with its keys at the client. A nil circuit is allowed.
+func (g *circuitGroup) markAnswered(c *circuit, keys callKeys) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if c == nil || c.phase != seized || g.circuits[c.cic] != c { // the answer crossed a release of the call
 		return false
 	}
+	if c.keys.differ(keys) { // the answer of a call of an earlier process
+		return false
+	}
 	c.phase = answered
+	c.keys.server = cmp.Or(c.keys.server, keys.server)
 	return true
 }
 
@@ -118,7 +127,7 @@
 	if c == nil || c.phase == releasing || g.circuits[c.cic] != c {
 		return
 	}
-	rel.cic, rel.kind = c.cic, kindREL
+	rel.cic, rel.kind, rel.keys = c.cic, kindREL, c.keys
 	c.phase, c.rel = releasing, rel
 	delete(g.byKey, c.key)
 	g.sendREL(c)
@@ -151,14 +160,17 @@
 func (g *circuitGroup) free(cic uint16) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := g.circuits[cic]
-	if c == nil {
-		return
+	if c := g.circuits[cic]; c != nil {
+		g.remove(c)
 	}
+}
+
+// remove removes a circuit from the group and stops its timer. The caller holds the lock.
+func (g *circuitGroup) remove(c *circuit) {
 	if c.resendTimer != nil {
 		c.resendTimer.Stop()
 	}
-	delete(g.circuits, cic)
+	delete(g.circuits, c.cic)
 	if g.byKey[c.key] == c {
 		delete(g.byKey, c.key)
 	}
@@ -194,6 +206,39 @@
 	return unanswered
 }
 
+// announceStanding sends an ANM with the call keys for each answered circuit, so that a far end that has restarted since
+// learns of its calls. One that knows the call ignores it, and so does one that does not understand the keys.
+func (g *circuitGroup) announceStanding() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.circuits {
+		if c.phase == answered && c.keys.client != "" && c.keys.server != "" && g.send != nil {
+			g.send(isupMessage{cic: c.cic, kind: kindANM, keys: c.keys})
+		}
+	}
+}
+
+// adopt marks a circuit as answered by a call of an earlier process, whose key at this end is given. It returns nil if the
+// circuit has that call already, or another one that stands. A call that has seized or released the circuit loses it,
+// since the far end ignores its messages; displaced is its circuit if it was waiting for the answer.
+func (g *circuitGroup) adopt(cic uint16, key string, keys callKeys, owner any) (adopted, displaced *circuit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.circuits[cic]
+	if c != nil && (c.phase == answered || !c.keys.differ(keys)) {
+		return nil, nil
+	}
+	if c != nil {
+		g.remove(c)
+		if c.phase == seized {
+			displaced = c
+		}
+	}
+	c = &circuit{cic: cic, key: key, keys: keys, earlier: true, phase: answered, owner: owner}
+	g.circuits[cic], g.byKey[key] = c, c
+	return c, displaced
+}
+
 // numUsed returns the number of circuits in use, with those that are being released.
 func (g *circuitGroup) numUsed() int {
 	g.mu.Lock()
@@ -201,15 +246,20 @@
 	return len(g.circuits)
 }
 
-// releaseAll starts the release of all circuits in use.
-func (g *circuitGroup) releaseAll(cause core.Cause) {
+// releaseAll starts the release of all circuits in use. It returns the keys of the standing calls of an earlier process
+// among them.
+func (g *circuitGroup) releaseAll(cause core.Cause) (earlier []string) {
 	g.mu.Lock()
 	inUse := make([]*circuit, 0, len(g.circuits))
 	for _, c := range g.circuits {
 		inUse = append(inUse, c)
+		if c.earlier && c.phase == answered {
+			earlier = append(earlier, c.key)
+		}
 	}
 	g.mu.Unlock()
 	for _, c := range inUse {
 		g.release(c, cause, 0)
 	}
+	return earlier
 }
--- a/internal/m3ua/isup.go
+++ b/internal/m3ua/isup.go
@@ -26,8 +26,10 @@
 	optEnd              = 0x00
 	optUserToUser       = 0x20    // holds the description, split over as many parameters as necessary
 	optCongestionLevel  = 0x27    // automatic congestion level
+	optNetworkFacility  = 0x2f    // network specific facility; holds the call keys
 	optPropagationDelay = 0x31    // propagation delay counter; used here for the caller's timeout in milliseconds
 	uuiUserSpecific     = 0x00    // protocol discriminator: user-specific
+	noNetworkID         = 0x00    // network specific facility: length of the network identification
 	maxUUIDescription   = 130     // bytes of the description in one user-to-user parameter
 	natureUnknown       = 0x02    // nature of address: unknown
 	planISDN            = 0x10    // numbering plan ISDN, routing to internal number allowed
@@ -51,6 +53,7 @@
 	retryAfter  time.Duration // REL: retry advice, sent in the cause's diagnostic, 0 if none
 	level       int           // REL: automatic congestion level, 0 for none, 1 or 2
 	description []byte        // IAM, ANM
+	keys        callKeys      // IAM, ANM, REL
 }
 
 var errInvalidISUP = errors.New("m3ua: invalid ISUP message")
@@ -69,11 +72,13 @@
 			b = append(b, optPropagationDelay, 4)
 			b = binary.BigEndian.AppendUint32(b, uint32(min(m.timeout.Milliseconds(), 1<<31)))
 		}
+		b = m.keys.appendTo(b)
 		b = appendDescription(b, m.description)
 	case kindACM:
 		b = append(b, 0, 0, 0) // backward call indicators, no optional part
 	case kindANM:
 		b = append(b, 1)
+		b = m.keys.appendTo(b)
 		b = appendDescription(b, m.description)
 	case kindREL:
 		b = append(b, 2, 0)
@@ -81,20 +86,31 @@
 		if m.retryAfter > 0 {
 			diagnostic = binary.BigEndian.AppendUint32(nil, uint32(min(m.retryAfter.Milliseconds(), 1<<31)))
 		}
-		if m.level > 0 {
+		optional := m.appendRELOptions(nil)
+		if len(optional) > 0 {
 			b[len(b)-1] = byte(4 + len(diagnostic)) // where the optional part starts
 		}
 		b = append(b, byte(2+len(diagnostic)), causeLocation, causeExtension|byte(m.cause))
 		b = append(b, diagnostic...)
-		if m.level > 0 {
-			b = append(b, optCongestionLevel, 1, byte(min(m.level, maxLevel)), optEnd)
-		}
+		b = append(b, optional...)
 	case kindRLC:
 		b = append(b, 0)
 	}
 	return b
 }
 
+// appendRELOptions appends the optional part of a REL to b, or nothing if it has no optional parameter.
+func (m isupMessage) appendRELOptions(b []byte) []byte {
+	if m.level > 0 {
+		b = append(b, optCongestionLevel, 1, byte(min(m.level, maxLevel)))
+	}
+	b = m.keys.appendTo(b)
+	if len(b) > 0 {
+		b = append(b, optEnd)
+	}
+	return b
+}
+
 // appendDigits appends the address signals of a number to b, two per byte, the first in the low four bits.
 func appendDigits(b []byte, number string) []byte {
 	for i := 0; i < len(number); i += 2 {
@@ -245,6 +261,8 @@
 			if m.level = int(v[0]); m.level > maxLevel {
 				m.level = 0
 			}
+		case b[0] == optNetworkFacility:
+			m.keys = parseCallKeys(v)
 		case b[0] == optPropagationDelay && len(v) == 4:
 			m.timeout = time.Duration(binary.BigEndian.Uint32(v)) * time.Millisecond
 		}
--- a/internal/m3ua/isup_test.go
+++ b/internal/m3ua/isup_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"brookmux/internal/core"
 )
 
 // TestFits guards against descriptions that pass the size check but make an IAM with the longest number too large for
@@ -21,3 +24,24 @@
 	require.True(t, descriptionFits(make([]byte, 15000)))
 	require.False(t, descriptionFits(make([]byte, maxMessageSize)))
 }
+
+// TestCallKeys: the call keys of a message are read as they were written, beside its other parameters, and a parameter
+// of the same type with other content is ignored.
+func TestCallKeys(t *testing.T) {
+	keys := callKeys{client: "9B1f03aa5c7e0001", server: "c3b85a3054d1761c"}
+	for _, m := range []isupMessage{
+		{kind: kindIAM, number: "12", description: []byte("offer")},
+		{kind: kindANM, description: []byte("answer")},
+		{kind: kindREL, cause: core.NormalClearing},
+		{kind: kindREL, cause: core.Congestion, level: 2, retryAfter: time.Second},
+	} {
+		for _, m.keys = range []callKeys{{}, {client: keys.client}, keys} {
+			read, err := parseISUP(m.append(nil))
+			require.NoError(t, err)
+			require.Equal(t, m, read)
+		}
+	}
+	for _, value := range []string{"", "\x00", "\x00" + keys.client[1:], "\x01" + keys.client, "\x00" + keys.client + "x"} {
+		require.Empty(t, parseCallKeys([]byte(value)), "%q", value)
+	}
+}
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +51,7 @@
 	peers        map[uint32]*peer // by ASP identifier
 	numOpen      int
 	conditions   map[uint32]core.Condition // last set, by point code
+	unclaimed    unclaimedReleases
 }
 
 // peer is the state of one configured peer: its association and a circuit group for each point code that it calls.
@@ -176,6 +179,7 @@
 				p.withdrawUnanswered(g)
 			}
 			g.associationUp(a.isupSender(dpc, p.PointCode))
+			g.announceStanding()
 		} else {
 			p.withdrawUnanswered(g)
 		}
@@ -225,15 +229,9 @@
 	case kindIAM:
 		p.offer(g, d.dpc, m)
 	case kindREL:
-		if c != nil && callPhase != releasing {
-			// The peer may seize the circuit again once it has the RLC. An answer that crosses this REL finds no
-			// circuit.
-			g.free(m.cic)
-			p.server.engine.Hangup(c.owner.(*caller), c.key, m.cause, func(bool) {})
-		} else if c != nil {
-			g.free(m.cic) // both ends sent a REL
-		}
-		g.sendMessage(isupMessage{cic: m.cic, kind: kindRLC})
+		p.handleREL(g, c, callPhase, m)
+	case kindANM:
+		p.adopt(g, m)
 	case kindRLC:
 		if callPhase == releasing {
 			g.free(m.cic)
@@ -242,6 +240,67 @@
 	return nil
 }
 
+// handleREL handles and confirms a REL on a circuit, c, which is nil if it is not in use here.
+func (p *peer) handleREL(g *circuitGroup, c *circuit, callPhase phase, m isupMessage) {
+	engine := p.server.engine
+	switch {
+	case c == nil && m.keys.server != "": // a call of an earlier process
+		engine.Hangup(&caller{engine: engine, group: g}, m.keys.server, m.cause, func(bool) {})
+	case c == nil:
+	case c.keys.differ(m.keys):
+		// The peer has restarted and releases a set-up that was dropped, as its circuit is in use.
+		p.server.log.Debug("m3ua: REL of another call", "asp", p.ASP, "cic", m.cic)
+	case callPhase == releasing: // both ends sent a REL
+		g.free(m.cic)
+	default:
+		// The peer may seize the circuit again once it has the RLC. An answer that crosses this REL finds no circuit.
+		g.free(m.cic)
+		engine.Hangup(c.owner.(*caller), c.key, m.cause, func(bool) {})
+	}
+	g.sendMessage(isupMessage{cic: m.cic, kind: kindRLC})
+}
+
+// adopt handles an ANM from the peer, which announces a call that stands and was set up by an earlier process.
+func (p *peer) adopt(g *circuitGroup, m isupMessage) {
+	s := p.server
+	if m.keys.server == "" || m.cic > maxCIC {
+		return
+	}
+	call := &caller{engine: s.engine, group: g, sendLevel: s.SendLevel}
+	adopted, _ := g.adopt(m.cic, m.keys.server, m.keys, call)
+	if adopted == nil {
+		return
+	}
+	call.circuit = adopted
+	s.log.Info("m3ua call of an earlier process", "asp", p.ASP, "cic", m.cic, "call", adopted.key)
+	if cause, released := s.unclaimed.take(adopted.key, time.Now()); released {
+		g.release(adopted, cause, 0)
+	}
+}
+
+// ReleaseOrphan releases a call of an earlier process to the peer that has announced it, and reports whether one has.
+// Otherwise the call is released as soon as a peer does.
+func (s *Server) ReleaseOrphan(key string, cause core.Cause) bool {
+	s.unclaimed.add(key, cause, time.Now()) // before the search: the call may be announced meanwhile
+	for _, p := range s.peers {
+		for _, g := range p.allGroups() {
+			if c := g.findCall(key); c != nil {
+				s.unclaimed.take(key, time.Now())
+				g.release(c, cause, 0)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// allGroups returns the circuit groups of the peer.
+func (p *peer) allGroups() []*circuitGroup {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Values(p.groups))
+}
+
 // rejectUnrouted rejects a call to a point code that no exchange has. It stores nothing, since a peer could otherwise
 // use up memory with arbitrary point codes.
 func (p *peer) rejectUnrouted(dpc uint32, cic uint16) {
@@ -258,7 +317,11 @@
 	s := p.server
 	key := newKey()
 	call := &caller{engine: s.engine, group: g, sendLevel: s.SendLevel}
-	call.circuit = g.seize(m.cic, key, call)
+	keys := callKeys{client: m.keys.client}
+	if keys.client != "" {
+		keys.server = key
+	}
+	call.circuit = g.seize(m.cic, key, keys, call)
 	if call.circuit == nil {
 		s.log.Debug("m3ua: IAM for a circuit in use", "asp", p.ASP, "cic", m.cic)
 		return // a REL would be the final answer of the call that already has the circuit
@@ -305,8 +368,9 @@
 		go c.engine.Hangup(c, key, core.TemporaryFailure, func(bool) {})
 		return
 	}
-	if c.group.markAnswered(c.circuit) {
-		c.group.sendMessage(isupMessage{cic: c.circuit.cic, kind: kindANM, description: description})
+	if c.group.markAnswered(c.circuit, callKeys{}) {
+		c.group.sendMessage(isupMessage{cic: c.circuit.cic, kind: kindANM, description: description,
+			keys: c.circuit.keys})
 	}
 }
 
--- a/internal/m3ua/session.go
+++ b/internal/m3ua/session.go
@@ -40,6 +40,10 @@
 	statusActive   = statusAS | 3
 )
 
+// infoCallKeys is the info string of the acknowledgement of ASPAC (RFC 4666, 3.7.2) by which a server says that it
+// understands call keys.
+const infoCallKeys = "call-keys"
+
 var (
 	errHeartbeat     = errors.New("m3ua: heartbeat not acknowledged")
 	errNotActive     = errors.New("m3ua: association did not become active in time")
@@ -54,6 +58,7 @@
 	routingContext uint32
 
 	state     atomic.Int32
+	sendKeys  atomic.Bool // the far end understands call keys, and gets them
 	beatAcked atomic.Bool // the last heartbeat was acknowledged
 	mu        sync.Mutex
 	closeErr  error // reason for which this end closed it; guarded by mu
@@ -75,6 +80,9 @@
 // has ended.
 func (a *association) isupSender(opc, dpc uint32) func(isupMessage) bool {
 	return func(m isupMessage) bool {
+		if !a.sendKeys.Load() {
+			m.keys = callKeys{}
+		}
 		d := protocolData{opc: opc, dpc: dpc, si: siISUP, sls: uint8(m.cic), payload: m.append(nil)}
 		return a.sendMessage(d.toMessage(a.routingContext))
 	}
@@ -221,6 +229,8 @@
 			a.sendParams(classASPTM, typeInactiveAck, uint32Param(paramRoutingContext, a.routingContext))
 			a.sendParams(classMgmt, typeNtfy, uint32Param(paramStatus, statusInactive))
 		case m.Type == typeActiveAck && !server && state != Down:
+			info, _ := m.Get(paramInfo)
+			a.sendKeys.Store(string(info) == infoCallKeys)
 			a.setState(Active)
 		case m.Type == typeInactiveAck && !server && state != Down:
 			a.setState(Inactive)
@@ -258,7 +268,9 @@
 		(len(value) != 4 || binary.BigEndian.Uint32(value) != a.routingContext) {
 		return &messageError{codeNoAS, "unknown routing context"}
 	}
-	a.sendParams(classASPTM, typeActiveAck, uint32Param(paramRoutingContext, a.routingContext))
+	a.sendKeys.Store(true) // a peer that does not understand keys sends none, and gets none back
+	a.sendParams(classASPTM, typeActiveAck, uint32Param(paramRoutingContext, a.routingContext),
+		Param{paramInfo, []byte(infoCallKeys)})
 	a.sendParams(classMgmt, typeNtfy, uint32Param(paramStatus, statusActive))
 	a.setState(Active)
 	return nil
