m3ua: keep an association with open set-ups after invalid messages

What callers saw: a peer's set-ups got no answer if the server ended its association for 16 invalid messages in a row.

Cause: serve ended the association without regard to open set-ups, which were then withdrawn.

Evidence: TestInvalidMessagesWithOpenSetUp failed before (connection reset) and passes now, 20 times with -race. Why it works: while a circuit of the peer is seized and unanswered, invalid messages get an ERR each and the association goes on. Open: lost framing still ends it at once.

--- a/internal/m3ua/group.go
+++ b/internal/m3ua/group.go
@@ -246,6 +246,18 @@
 	return len(g.circuits)
 }
 
+// hasSeized reports whether a circuit is seized and unanswered.
+func (g *circuitGroup) hasSeized() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.circuits {
+		if c.phase == seized {
+			return true
+		}
+	}
+	return false
+}
+
 // releaseAll starts the release of all circuits in use. It returns the keys of the standing calls of an earlier process
 // among them.
 func (g *circuitGroup) releaseAll(cause core.Cause) (earlier []string) {
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -130,6 +130,7 @@
 		p = s.peers[asp]
 		return nil
 	}
+	a.hasOpen = func() bool { return p != nil && p.hasOpenSetUps() }
 	a.onState = func(to State) {
 		if p.associationChanged(a, to == Active); to == Active {
 			s.engine.CallerConnected(p.callerGroup())
@@ -294,6 +295,11 @@
 	return false
 }
 
+// hasOpenSetUps reports whether a set-up of the peer is unanswered.
+func (p *peer) hasOpenSetUps() bool {
+	return slices.ContainsFunc(p.allGroups(), (*circuitGroup).hasSeized)
+}
+
 // allGroups returns the circuit groups of the peer.
 func (p *peer) allGroups() []*circuitGroup {
 	p.mu.Lock()
--- a/internal/m3ua/session.go
+++ b/internal/m3ua/session.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	maxFaults    = 16                     // consecutive invalid messages that end an association
+	maxFaults    = 16                     // consecutive invalid messages that end an association without open set-ups
 	closeTimeout = 200 * time.Millisecond // wait for the far end to close after this end has half-closed
 )
 
@@ -64,6 +64,7 @@
 	closeErr  error // reason for which this end closed it; guarded by mu
 
 	acceptASP func(asp uint32, hasID bool) *messageError // server only, else nil: an ASPUP arrived; an error rejects it
+	hasOpen   func() bool                                // server only, else nil: a set-up of the peer is unanswered
 	onState   func(State)                                // called from serve at a change of state
 	onISUP    func(protocolData, isupMessage) error      // called from serve, while active
 	onSSNM    func(Message, []pointCodeRange) error      // called from serve, while active: a message of class SSNM
@@ -127,7 +128,7 @@
 		}
 		if errors.As(err, &fault) {
 			a.sendParams(classMgmt, typeErr, uint32Param(paramErrorCode, fault.code))
-			if faults++; faults < maxFaults {
+			if faults++; faults < maxFaults || a.hasOpen != nil && a.hasOpen() { // an open set-up is owed its answer
 				a.log.Info("m3ua", "error", err)
 				continue
 			}
--- a/internal/m3ua/session_test.go
+++ b/internal/m3ua/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"log/slog"
 	"net"
@@ -58,3 +59,34 @@
 		})
 	}
 }
+
+// TestInvalidMessagesWithOpenSetUp guards against set-ups without an answer: a server ends an association after too many
+// invalid messages, but not while a set-up is open on it.
+func TestInvalidMessagesWithOpenSetUp(t *testing.T) {
+	for _, open := range []bool{true, false} {
+		l, err := net.Listen("tcp", net.JoinHostPort(testhost.Host(), "0"))
+		require.NoError(t, err)
+		defer l.Close()
+		far, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		defer far.Close()
+		near, err := l.Accept()
+		require.NoError(t, err)
+		a := newAssociation(near, 1, slog.New(slog.DiscardHandler))
+		a.hasOpen = func() bool { return open }
+		ended := make(chan error, 1)
+		go func() { ended <- a.serve(t.Context(), time.Minute, time.Minute) }()
+		invalid := bytes.Repeat(Message{Class: 9}.Append(nil), 2*maxFaults)
+		_, err = far.Write(Message{classASPSM, typeBeat, nil}.Append(invalid))
+		require.NoError(t, err)
+		r, last := bufio.NewReader(far), Message{}
+		for err = nil; err == nil && last.Type != typeBeatAck; {
+			last, err = Read(r)
+		}
+		if open {
+			require.NoError(t, err, "the message after the invalid ones is answered")
+			continue
+		}
+		require.ErrorIs(t, <-ended, errTooManyFaults)
+	}
+}
