corelink: keep calls on the successor of a gone core until it is listed

Cause: Pool.dropUnlisted ended all calls under the gone core's id, whichever process has them.

Why it works: only calls of a process that is known to be another one (it came up after refused dials, or lacks the former calls), is connected and gave a recent sign of life stay, on an endpoint that takes no set-ups. A core that is listed there takes them over; their lease ends them if the process falls silent.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -105,6 +105,7 @@
 	Cut      bool          // calls that stand are lost too
 	MayStand bool          // the core may still have them, so it is sent releases
 	Before   time.Duration // only those sent before this time on the engine's clock; 0 or less for all
+	Except   []string      // keys of calls that are not lost
 	Outcome  Outcome
 }
 
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -60,13 +60,13 @@
 }
 
 // Lost handles the loss of the set-ups on a connection that is closed or, with Cut, also of the calls that stood at a
-// core that has failed. Nil keys mean every call at that core.
+// core that has failed. Nil keys mean every call at that core but those excepted.
 func (e *Engine) Lost(at brookmux.SwitchID, keys []string, loss Loss) {
 	e.post(func() {
 		at = e.currentID(at)
 		if keys == nil {
 			for k, c := range e.calls {
-				if c.hasAttemptAt(at) {
+				if c.hasAttemptAt(at) && !slices.Contains(loss.Except, k) {
 					keys = append(keys, k)
 				}
 			}
--- a/internal/corelink/endpoint.go
+++ b/internal/corelink/endpoint.go
@@ -46,6 +46,7 @@
 	leader           *connection      // the only connection whose group states are used, nil if none is elected
 	extraConnections int              // connections beyond Config.Connections that are open or being opened
 	replacedAt       time.Time        // when closeStalled last closed an unresponsive connection
+	unlisted         bool             // kept for calls that stand, although the membership list has the core no more
 }
 
 // id returns the ID under which the core is currently listed.
@@ -67,6 +68,38 @@
 	e.cancel()
 }
 
+// keepUnlisted keeps an endpoint whose core is not listed any more, without new set-ups, if calls or set-ups on it are on
+// a process that took the address after the core had ended: it may be listed only later. It returns their keys, or none
+// if the endpoint has to be dropped. The lock is held.
+func (e *endpoint) keepUnlisted() []string {
+	kept := e.lease.SuccessorCalls(e.pool.sinceOrigin(time.Now()))
+	if len(kept) > 0 {
+		e.unlisted = true
+		e.failWaiting()
+		e.pool.Log.Info("core_unlisted", "core", e.id(), "kept", len(kept))
+	}
+	return kept
+}
+
+// failWaiting reports the set-ups that wait for a connection as not reached. The lock is held.
+func (e *endpoint) failWaiting() {
+	waiting := e.waiting
+	e.waiting = nil
+	if len(waiting) > 0 {
+		go e.pool.reportUnreached(e.id(), waiting) // asynchronous: the lock is held
+	}
+}
+
+// carriesNothing reports whether no call stands on the endpoint and no set-up is pending. The lock is held.
+func (e *endpoint) carriesNothing() bool {
+	for c := range e.connections {
+		if len(c.pending) > 0 {
+			return false
+		}
+	}
+	return e.lease.Calls() == 0
+}
+
 // finish closes the writing halves of the connections after the queued messages have been written, and stops opening
 // new ones. The lock is held.
 func (e *endpoint) finish() {
@@ -100,12 +133,12 @@
 	return best
 }
 
-// setUp sends a set-up on the best connection, or keeps it for the next one. If the core may not have read a release of
-// an earlier set-up of the call yet, setUp reports the new one as not reached: the release would end it, or it would
-// follow the release too soon. The lock is held.
+// setUp sends a set-up on the best connection, or keeps it for the next one. If the core is not listed any more, or may
+// not have read a release of an earlier set-up of the call yet, setUp reports the new one as not reached: the release
+// would end it, or it would follow the release too soon. The lock is held.
 func (e *endpoint) setUp(a core.Attempt) {
 	now := time.Now()
-	if e.releaseOutstanding(a.Key) {
+	if e.unlisted || e.releaseOutstanding(a.Key) {
 		go e.pool.reportUnreached(e.id(), []core.Attempt{a}) // asynchronous: the event receiver is the caller
 		return
 	}
--- a/internal/corelink/pool.go
+++ b/internal/corelink/pool.go
@@ -89,6 +89,10 @@
 		if x := e.tickLease(now); len(x) > 0 {
 			expired[id] = x
 		}
+		if e.unlisted && e.carriesNothing() {
+			e.drop()
+			delete(p.endpoints, id)
+		}
 	}
 	p.mu.Unlock()
 	for id, list := range expired {
@@ -104,6 +108,7 @@
 type endedCalls struct {
 	id     brookmux.SwitchID
 	before time.Duration
+	except []string // keys of calls that have not ended
 }
 
 // takeover records that the endpoint of an unlisted core passes to a newly listed core at the same address. That core
@@ -126,7 +131,7 @@
 	}
 	p.mu.Unlock()
 	for _, d := range ended {
-		p.events.Lost(d.id, nil, core.Loss{Cut: true, Before: d.before, Outcome: lostOutcome})
+		p.events.Lost(d.id, nil, core.Loss{Cut: true, Before: d.before, Except: d.except, Outcome: lostOutcome})
 	}
 	for _, t := range moved {
 		p.events.Lost(t.from, nil, core.Loss{Cut: true, Before: t.to.Since, Outcome: lostOutcome})
@@ -151,7 +156,7 @@
 				continue
 			}
 			e.handleRestart(c.Since)
-			e.Since, e.Draining = c.Since, c.Draining
+			e.Since, e.Draining, e.unlisted = c.Since, c.Draining, false
 			delete(p.endpoints, id)
 			p.endpoints[c.ID] = e
 			found = append(found, takeover{e, id, c})
@@ -162,14 +167,25 @@
 }
 
 // dropUnlisted drops the endpoints of cores that are not listed, and of those whose old address now belongs to a new
-// core: the connections lead to that core. The lock is held.
+// core: the connections lead to that core. An endpoint whose address nobody has is kept while calls stand there on a
+// process that is known to be another one. The lock is held.
 func (p *Pool) dropUnlisted(cores []Core) (ended []endedCalls) {
 	listed, byAddr := map[brookmux.SwitchID]bool{}, map[string]brookmux.SwitchID{}
 	for _, c := range cores {
 		listed[c.ID], byAddr[c.Addr] = true, c.ID
 	}
 	for id, old := range p.endpoints {
-		if owner, taken := byAddr[old.Addr]; !listed[id] || taken && owner != id && p.endpoints[owner] == nil {
+		owner, taken := byAddr[old.Addr]
+		if listed[id] && (!taken || owner == id || p.endpoints[owner] != nil) || old.unlisted && !taken {
+			continue
+		}
+		var kept []string
+		if !taken {
+			kept = old.keepUnlisted()
+		}
+		if len(kept) > 0 {
+			ended = append(ended, endedCalls{id: id, before: -1, except: kept})
+		} else {
 			old.drop()
 			delete(p.endpoints, id)
 			ended = append(ended, endedCalls{id: id, before: -1})
@@ -192,14 +208,12 @@
 		return ended
 	case c.Since > e.Since: // an entry without a start time does not report a start
 		// Connections that came up after the start lead to the new process, so their calls are kept.
-		ended = append(ended, endedCalls{c.ID, c.Since})
+		ended = append(ended, endedCalls{id: c.ID, before: c.Since})
 		e.handleRestart(c.Since)
 	}
-	e.Since, e.Draining = max(e.Since, c.Since), c.Draining
-	if c.Draining && len(e.waiting) > 0 { // they must not be sent when a connection comes up later
-		waiting := e.waiting
-		e.waiting = nil
-		go p.reportUnreached(c.ID, waiting) // asynchronous: the lock is held
+	e.Since, e.Draining, e.unlisted = max(e.Since, c.Since), c.Draining, false
+	if c.Draining { // they must not be sent when a connection comes up later
+		e.failWaiting()
 	}
 	return ended
 }
--- a/internal/corelink/pool_test.go
+++ b/internal/corelink/pool_test.go
@@ -14,6 +14,7 @@
 
 	"brookmux"
 	"brookmux/internal/core"
+	"brookmux/internal/testhost"
 )
 
 // lossRecorder records the set-ups that are reported lost.
@@ -124,3 +125,97 @@
 	require.Contains(t, lines.Text(), "000000000000000c")
 	require.Equal(t, []string{"000000000000000a", "000000000000000a"}, lostKeys())
 }
+
+// listedRecorder records the calls that are kept when their core leaves the membership list, and what becomes of them.
+type listedRecorder struct {
+	core.Events
+	mu       sync.Mutex
+	answered []string
+	losses   []core.Loss
+	movedTo  brookmux.SwitchID
+}
+
+func (r *listedRecorder) Answered(_ brookmux.SwitchID, key string, _ []byte, _ brookmux.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered = append(r.answered, key)
+}
+
+func (r *listedRecorder) Lost(_ brookmux.SwitchID, _ []string, loss core.Loss) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.losses = append(r.losses, loss)
+}
+
+func (r *listedRecorder) Moved(_, to brookmux.SwitchID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.movedTo = to
+}
+
+func (r *listedRecorder) Reported(brookmux.SwitchID, brookmux.Report, bool) {}
+func (r *listedRecorder) Ended(brookmux.SwitchID, string, core.Outcome)     {}
+
+// TestCallsOnUnlistedCore guards against calls that are cut on a live core, which took the address of a gone one and is
+// listed later than that one leaves the list. No set-up may be sent there meanwhile.
+func TestCallsOnUnlistedCore(t *testing.T) {
+	const standing, later = "000000000000000a", "000000000000000b"
+	for _, listedAgain := range []bool{true, false} {
+		l, err := net.Listen("tcp", net.JoinHostPort(testhost.Host(), "0"))
+		require.NoError(t, err)
+		events := &listedRecorder{}
+		p := New(t.Context(), Config{Connections: 1, Origin: time.Now().Add(-time.Hour), Log: slog.New(slog.DiscardHandler)})
+		p.Serve(events)
+		address := l.Addr().String()
+		start := p.sinceOrigin(time.Now())
+		p.Update([]Core{{ID: 1, Addr: address}})
+		former, err := l.Accept()
+		require.NoError(t, err)
+		require.NoError(t, l.Close()) // the former core ends
+		require.NoError(t, former.(*net.TCPConn).SetLinger(0))
+		require.NoError(t, former.Close())
+		time.Sleep(2 * minReconnectDelay) // a dial is refused
+		l, err = net.Listen("tcp", address)
+		require.NoError(t, err)
+		defer l.Close()
+		conn, err := l.Accept()
+		require.NoError(t, err)
+		defer conn.Close()
+		lines := bufio.NewScanner(conn)
+		p.SetUp(1, core.Attempt{Key: standing, Timeout: time.Second, Width: 1})
+		require.True(t, lines.Scan())
+		_, err = conn.Write([]byte(`{"type":"answer","id":"` + standing + `","fields":{},"sdp":""}` + "\n"))
+		require.NoError(t, err)
+		eventually := func(condition func() bool) {
+			t.Helper()
+			require.Eventually(t, func() bool {
+				events.mu.Lock()
+				defer events.mu.Unlock()
+				return condition()
+			}, 2*time.Second, time.Millisecond)
+		}
+		eventually(func() bool { return len(events.answered) == 1 })
+
+		p.Update(nil)
+		eventually(func() bool { return len(events.losses) == 1 && slices.Equal(events.losses[0].Except, []string{standing}) })
+		p.SetUp(1, core.Attempt{Key: later, Timeout: time.Second, Width: 1})
+		eventually(func() bool {
+			return len(events.losses) == 2 && events.losses[1].Outcome.Result == brookmux.ResultConnectFailed
+		})
+		if listedAgain {
+			p.Update([]Core{{ID: 2, Addr: address, Since: start}})
+			eventually(func() bool { return events.movedTo == 2 })
+			p.mu.Lock()
+			require.Equal(t, 1, p.endpoints[2].lease.Calls())
+			p.mu.Unlock()
+			continue
+		}
+		_, err = conn.Write([]byte(`{"type":"release","id":"` + standing + `","fields":{},"cause":16}` + "\n"))
+		require.NoError(t, err)
+		require.Eventually(t, func() bool {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return len(p.endpoints) == 0
+		}, 2*time.Second, time.Millisecond, "the endpoint is dropped with its last call")
+	}
+}
--- a/internal/liveness/lease.go
+++ b/internal/liveness/lease.go
@@ -118,6 +118,7 @@
 	seenAlive         bool
 	connections       map[ConnectionID]*connection
 	calls             map[string]call
+	successor         bool // another process that was at the address before is known to have ended
 	checkFailed       bool // a check has failed since the last sign of life
 	closedInOrder     bool // the last connection to end was closed in order by the core
 	used              float64
@@ -155,14 +156,18 @@
 // which process it leads to. If the core is not known to begin connections with its group state, the connection itself
 // counts as a sign of life.
 func (l *Lease) Connected(id ConnectionID, now time.Duration) {
-	l.refusedSince = 0
 	p := &process{connections: map[ConnectionID]*connection{}, calls: map[string]call{}, lastAliveAt: now}
+	if len(l.processes) > 0 {
+		p.successor = l.newest().successor || l.refusalsProveEnd(l.newest(), now)
+	}
 	if l.Calls() == 0 && len(l.processes) > 0 {
-		p = l.processes[len(l.processes)-1] // without calls there is nothing to attribute
+		l.newest().successor = p.successor
+		p = l.newest() // without calls there is nothing to attribute
 		p.lastAliveAt = now
 	} else {
 		l.processes = append(l.processes, p)
 	}
+	l.refusedSince = 0
 	c := &connection{process: p, openedAt: now}
 	p.connections[id], l.connections[id] = c, c
 	if !l.stateOnConnect {
@@ -398,6 +403,37 @@
 	}
 }
 
+// SuccessorCalls returns the calls and pending set-ups of a process that has taken the core's address after another one
+// had ended, if it has an open connection and gave a sign of life so recently that no check was due. The end of the core
+// that was at the address before does not end them.
+func (l *Lease) SuccessorCalls(now time.Duration) (keys []string) {
+	for _, p := range l.processes {
+		if !p.successor || !p.responding(now) {
+			continue
+		}
+		for key := range p.calls {
+			keys = append(keys, key)
+		}
+		for key, s := range l.pending {
+			if p.connections[s.connectionID] != nil {
+				keys = append(keys, key)
+			}
+		}
+	}
+	return keys
+}
+
+// responding reports whether the process has an open connection on which a message was received, and gave a sign of life so
+// recently that no check was due.
+func (p *process) responding(now time.Duration) bool {
+	for _, c := range p.connections {
+		if c.received {
+			return now-p.lastAliveAt < CheckAfter+CheckInterval
+		}
+	}
+	return false
+}
+
 // Calls returns the number of standing calls.
 func (l *Lease) Calls() int {
 	n := 0
@@ -422,6 +458,9 @@
 		l.verifyStates(p, now)
 		if reason := l.expiryReason(p, now); reason != "" {
 			d.Expired = append(d.Expired, p.expire(reason, now))
+			if reason == ReasonReplaced {
+				l.markSuccessors(p)
+			}
 			continue
 		}
 		l.tryMerge(p, now)
@@ -434,6 +473,13 @@
 	return d
 }
 
+// markSuccessors records that p has ended and the processes after it are others.
+func (l *Lease) markSuccessors(p *process) {
+	for _, later := range l.laterProcesses(p) {
+		later.successor = true
+	}
+}
+
 // verifyStates determines whether the core's group states count its calls, as long as it is certain which process sends
 // them.
 func (l *Lease) verifyStates(p *process, now time.Duration) {
@@ -454,9 +500,8 @@
 
 // expiryReason returns why the calls of a process have to be abandoned, or "" if they stand.
 func (l *Lease) expiryReason(p *process, now time.Duration) Reason {
-	refused := l.refusedSince > 0 && len(l.connections) == 0
 	switch {
-	case refused && (!p.closedInOrder || now-l.refusedSince >= minRefusedTime):
+	case l.refusalsProveEnd(p, now):
 		return ReasonRefused
 	case p.lacksCalls(now):
 		return ReasonReplaced
@@ -466,6 +511,12 @@
 	return ""
 }
 
+// refusalsProveEnd reports whether the refused dials show that a process has ended.
+func (l *Lease) refusalsProveEnd(p *process, now time.Duration) bool {
+	return l.refusedSince > 0 && len(l.connections) == 0 &&
+		(!p.closedInOrder || now-l.refusedSince >= minRefusedTime)
+}
+
 // lacksCalls reports whether a later process has shown that it does not have the calls of this one, and has had time to
 // release those that have ended.
 func (p *process) lacksCalls(now time.Duration) bool {
