--- a/internal/corelink/pool_test.go
+++ b/internal/corelink/pool_test.go
@@ -197,7 +197,9 @@
 		eventually(func() bool { return len(events.answered) == 1 })
 
 		p.Update(nil)
-		eventually(func() bool { return len(events.losses) == 1 && slices.Equal(events.losses[0].Except, []string{standing}) })
+		eventually(func() bool {
+			return len(events.losses) == 1 && slices.Equal(events.losses[0].Except, []string{standing})
+		})
 		p.SetUp(1, core.Attempt{Key: later, Timeout: time.Second, Width: 1})
 		eventually(func() bool {
 			return len(events.losses) == 2 && events.losses[1].Outcome.Result == brookmux.ResultConnectFailed
--- a/internal/liveness/lease.go
+++ b/internal/liveness/lease.go
@@ -9,7 +9,6 @@
 package liveness
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -89,51 +88,6 @@
 	Carrying        []ConnectionID
 }
 
-// call is an answered call that has not ended.
-type call struct {
-	connectionID ConnectionID // connection of its set-up, on which a core sends the messages of the call
-	width        float64
-	answeredAt   time.Duration
-}
-
-// pendingSetUp is a set-up without a final answer.
-type pendingSetUp struct {
-	connectionID ConnectionID
-	width        float64
-}
-
-// connection is the state of an open connection.
-type connection struct {
-	process   *process
-	openedAt  time.Duration
-	seenAlive bool // evidence that its process is alive arrived on it
-	received  bool // at least one message was received
-	retired   bool // closed by this side; the core has to close it too
-}
-
-// process is the known state of one process at the core's address. Two records are merged when evidence shows that they
-// are the same process.
-type process struct {
-	lastAliveAt       time.Duration // last sign of life
-	seenAlive         bool
-	connections       map[ConnectionID]*connection
-	calls             map[string]call
-	successor         bool // another process that was at the address before is known to have ended
-	checkFailed       bool // a check has failed since the last sign of life
-	closedInOrder     bool // the last connection to end was closed in order by the core
-	used              float64
-	usedKnown         bool
-	contradiction     *stateContradiction
-	contradictedSince time.Duration // since when its own group states contradict its calls, 0 if they agree
-}
-
-// stateContradiction is a group state of a later process with too few circuits in use to include the calls of an
-// earlier one.
-type stateContradiction struct {
-	at           time.Duration
-	unattributed float64 // circuits in use that the later process's own calls do not account for
-}
-
 // Lease tracks the processes, connections and standing calls of one core. The zero value is not usable; use New. A
 // Lease is not safe for concurrent use. All times are on one clock of the caller.
 type Lease struct {
@@ -197,90 +151,6 @@
 	}
 }
 
-// renew records a sign of life of a connection's process.
-func (l *Lease) renew(c *connection, now time.Duration) {
-	c.seenAlive = true
-	p := c.process
-	p.seenAlive, p.lastAliveAt, p.checkFailed = true, now, false
-	l.mergeSeenAfter(p)
-	// tryMerge removes only processes that follow the one it is given, so the index stays valid.
-	for i := 0; i < slices.Index(l.processes, c.process); i++ {
-		l.tryMerge(l.processes[i], now)
-	}
-	l.mergeSeenAfter(c.process)
-}
-
-// mergeSeenAfter merges the processes after p that were seen alive into p. They are the same process if p is alive now,
-// after they were reached at its address.
-func (l *Lease) mergeSeenAfter(p *process) {
-	for _, later := range l.laterProcesses(p) {
-		if later.seenAlive {
-			l.merge(p, later)
-		}
-	}
-}
-
-// laterProcesses returns the processes that follow p, which has to be listed, in order.
-func (l *Lease) laterProcesses(p *process) []*process {
-	index := slices.Index(l.processes, p)
-	return slices.Clone(l.processes[index+1:])
-}
-
-// merge combines two processes that are the same into one.
-func (l *Lease) merge(into, from *process) {
-	for id, c := range from.connections {
-		c.process = into
-		into.connections[id] = c
-	}
-	for id, k := range from.calls {
-		into.calls[id] = k
-	}
-	into.lastAliveAt = max(into.lastAliveAt, from.lastAliveAt)
-	into.seenAlive = into.seenAlive || from.seenAlive
-	into.checkFailed, into.contradiction = false, nil
-	if from.usedKnown {
-		into.used, into.usedKnown = from.used, true
-	}
-	l.remove(from)
-}
-
-// evaluateCall handles a message that names a call. Its sender is the process that answered the call.
-func (l *Lease) evaluateCall(sender *process, id string) {
-	for _, p := range slices.Clone(l.processes) {
-		if _, ok := p.calls[id]; ok && p != sender {
-			l.merge(p, sender)
-			return
-		}
-	}
-}
-
-// evaluateState compares the sender's group state with the calls that stand on earlier processes. A sender whose state
-// includes them is the process that has them. A sender with fewer circuits in use than they take is another process,
-// unless releases of these calls are still to arrive.
-func (l *Lease) evaluateState(sender *process, now time.Duration) {
-	if !l.statesReliable() {
-		return
-	}
-	for i := slices.Index(l.processes, sender) - 1; i >= 0; i-- {
-		p := l.processes[i]
-		width := p.width(now - settleTime)
-		switch {
-		case width == 0:
-		case sender.used-sender.width(now-settleTime) < minInUse(width):
-			if p.contradiction == nil {
-				p.contradiction = &stateContradiction{at: now, unattributed: sender.used - sender.width(now-settleTime)}
-			}
-		case sender.used >= minInUse(width)+l.laterWidth(p, now):
-			l.merge(p, sender)
-			sender = p // holds the states and the calls of both
-		}
-	}
-}
-
-// minInUse returns the minimum number of circuits in use at which calls of the given width can stand. Of many calls, a
-// few may have ended with their releases lost, which does not indicate another process.
-func minInUse(width float64) float64 { return width - math.Floor(width*maxMissingShare) }
-
 // SetUpSent records that a set-up of the given width, in circuits, was sent on a connection. From then on it may take
 // circuits of the process there.
 func (l *Lease) SetUpSent(id string, width float64, connectionID ConnectionID) {
@@ -290,40 +160,6 @@
 // SetUpEnded records that a set-up is no longer pending.
 func (l *Lease) SetUpEnded(id string) { delete(l.pending, id) }
 
-// laterWidth returns the maximum number of circuits taken by calls and set-ups on processes that follow p. Set-ups on
-// connections of p or of earlier processes did not reach them.
-func (l *Lease) laterWidth(p *process, now time.Duration) float64 {
-	sum := l.laterPendingWidth(p)
-	for _, later := range l.laterProcesses(p) {
-		sum += later.width(now)
-	}
-	return sum
-}
-
-// laterPendingWidth returns the maximum number of circuits taken by pending set-ups on processes that follow p. Set-ups
-// on connections that have ended are included, as their process is unknown.
-func (l *Lease) laterPendingWidth(p *process) float64 {
-	later := l.laterProcesses(p)
-	sum := 0.0
-	for _, s := range l.pending {
-		if c := l.connections[s.connectionID]; c == nil || slices.Contains(later, c.process) {
-			sum += s.width
-		}
-	}
-	return sum
-}
-
-// width returns the number of circuits of the calls that were answered at or before a time.
-func (p *process) width(before time.Duration) float64 {
-	sum := 0.0
-	for _, k := range p.calls {
-		if k.answeredAt <= before {
-			sum += k.width
-		}
-	}
-	return sum
-}
-
 // Retired records that this side closed a connection. The core has to close it too.
 func (l *Lease) Retired(id ConnectionID) {
 	if c := l.connections[id]; c != nil {
@@ -349,14 +185,6 @@
 	}
 }
 
-// newest returns the process that is at the core's address now.
-func (l *Lease) newest() *process { return l.processes[len(l.processes)-1] }
-
-// remove takes a process off the list.
-func (l *Lease) remove(p *process) {
-	l.processes = slices.DeleteFunc(l.processes, func(q *process) bool { return q == p })
-}
-
 // DialFailed records a failed connection attempt; refused says whether the core's host refused it.
 func (l *Lease) DialFailed(now time.Duration, refused bool) {
 	for _, p := range l.processes {
@@ -423,17 +251,6 @@
 	return keys
 }
 
-// responding reports whether the process has an open connection on which a message was received, and gave a sign of life so
-// recently that no check was due.
-func (p *process) responding(now time.Duration) bool {
-	for _, c := range p.connections {
-		if c.received {
-			return now-p.lastAliveAt < CheckAfter+CheckInterval
-		}
-	}
-	return false
-}
-
 // Calls returns the number of standing calls.
 func (l *Lease) Calls() int {
 	n := 0
@@ -473,31 +290,6 @@
 	return d
 }
 
-// markSuccessors records that p has ended and the processes after it are others.
-func (l *Lease) markSuccessors(p *process) {
-	for _, later := range l.laterProcesses(p) {
-		later.successor = true
-	}
-}
-
-// verifyStates determines whether the core's group states count its calls, as long as it is certain which process sends
-// them.
-func (l *Lease) verifyStates(p *process, now time.Duration) {
-	width := p.width(now - settleTime)
-	if p != l.newest() || len(l.processes) > 1 || !p.usedKnown || width == 0 ||
-		now-p.lastAliveAt > CheckAfter+CheckInterval {
-		return
-	}
-	if p.used >= width {
-		p.contradictedSince, l.statesVerified = 0, true
-		return
-	}
-	if p.contradictedSince == 0 {
-		p.contradictedSince = now
-	}
-	l.statesDistrusted = l.statesDistrusted || now-p.contradictedSince >= distrustAfter
-}
-
 // expiryReason returns why the calls of a process have to be abandoned, or "" if they stand.
 func (l *Lease) expiryReason(p *process, now time.Duration) Reason {
 	switch {
@@ -510,98 +302,3 @@
 	}
 	return ""
 }
-
-// refusalsProveEnd reports whether the refused dials show that a process has ended.
-func (l *Lease) refusalsProveEnd(p *process, now time.Duration) bool {
-	return l.refusedSince > 0 && len(l.connections) == 0 &&
-		(!p.closedInOrder || now-l.refusedSince >= minRefusedTime)
-}
-
-// lacksCalls reports whether a later process has shown that it does not have the calls of this one, and has had time to
-// release those that have ended.
-func (p *process) lacksCalls(now time.Duration) bool {
-	return p.contradiction != nil && now-p.contradiction.at >= ReleaseGrace &&
-		minInUse(p.width(p.contradiction.at-settleTime)) > p.contradiction.unattributed
-}
-
-// expire removes the calls of a process and returns them as an Expiry.
-func (p *process) expire(reason Reason, now time.Duration) Expiry {
-	e := Expiry{Reason: reason, UnresponsiveFor: now - p.lastAliveAt}
-	for id := range p.calls {
-		e.Calls = append(e.Calls, id)
-	}
-	slices.Sort(e.Calls)
-	clear(p.calls)
-	p.contradiction = nil
-	return e
-}
-
-// tryMerge merges a later process that was seen alive into p if there is no evidence against it: no check has failed and
-// the group states cannot decide. The absence of messages on the connections of p is no such evidence, because an idle
-// core sends nothing.
-func (l *Lease) tryMerge(p *process, now time.Duration) {
-	if p.lacksCalls(now) {
-		return // the next Tick expires its calls
-	}
-	releasesDone := p.contradiction != nil && now-p.contradiction.at >= ReleaseGrace // the missing calls were released
-	if releasesDone {
-		p.contradiction = nil
-	}
-	for _, later := range l.laterProcesses(p) {
-		stateDecides := l.statesReliable() && later.usedKnown && p.width(now-settleTime) > 0
-		if later.seenAlive && (releasesDone || !stateDecides && !p.checkFailed && p.contradiction == nil) {
-			l.merge(p, later)
-			return
-		}
-	}
-}
-
-// statesReliable reports whether the core's group states are known to count the standing calls.
-func (l *Lease) statesReliable() bool { return l.statesVerified && !l.statesDistrusted }
-
-// requestCheck requests a new connection if a process is unresponsive and a connection could give more evidence.
-func (l *Lease) requestCheck(p *process, now time.Duration, d *Decision) {
-	if now-p.lastAliveAt < CheckAfter || now-l.lastCheckAt < CheckInterval {
-		return
-	}
-	carrying := map[ConnectionID]bool{}
-	for _, q := range l.processes {
-		for _, k := range q.calls {
-			carrying[k.connectionID] = true
-		}
-	}
-	for id, c := range l.connections {
-		switch {
-		case c.retired:
-		case !carrying[id]:
-			d.Idle = append(d.Idle, id)
-		case c.process == p:
-			d.Carrying = append(d.Carrying, id)
-		}
-	}
-	slices.Sort(d.Idle)
-	slices.Sort(d.Carrying)
-	d.ReplaceCarrying = p != l.newest() && !l.statesReliable() && len(d.Carrying) > 0
-	if p != l.newest() && !d.ReplaceCarrying && l.newestResponding(now) && !l.stateInconclusive(p) {
-		return // the process at the address has sent a message, or still has time to
-	}
-	l.lastCheckAt = now
-	d.Check = true
-}
-
-// stateInconclusive reports whether the states of the process at the address left open, because of pending set-ups,
-// whether it has the calls of p, and a new state would decide it, as no set-up is pending.
-func (l *Lease) stateInconclusive(p *process) bool {
-	return l.statesReliable() && l.newest().usedKnown && p.contradiction == nil && l.laterPendingWidth(p) == 0
-}
-
-// newestResponding reports whether the process at the address was seen alive recently, or still has time to send its
-// first message.
-func (l *Lease) newestResponding(now time.Duration) bool {
-	for _, c := range l.newest().connections {
-		if c.seenAlive && now-l.newest().lastAliveAt < FirstMessageTimeout || now-c.openedAt < FirstMessageTimeout {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/internal/liveness/process.go
@@ -0,0 +1,131 @@
+package liveness
+
+import (
+	"slices"
+	"time"
+)
+
+// call is an answered call that has not ended.
+type call struct {
+	connectionID ConnectionID // connection of its set-up, on which a core sends the messages of the call
+	width        float64
+	answeredAt   time.Duration
+}
+
+// pendingSetUp is a set-up without a final answer.
+type pendingSetUp struct {
+	connectionID ConnectionID
+	width        float64
+}
+
+// connection is the state of an open connection.
+type connection struct {
+	process   *process
+	openedAt  time.Duration
+	seenAlive bool // evidence that its process is alive arrived on it
+	received  bool // at least one message was received
+	retired   bool // closed by this side; the core has to close it too
+}
+
+// process is the known state of one process at the core's address. Two records are merged when evidence shows that they
+// are the same process.
+type process struct {
+	lastAliveAt       time.Duration // last sign of life
+	seenAlive         bool
+	connections       map[ConnectionID]*connection
+	calls             map[string]call
+	successor         bool // another process that was at the address before is known to have ended
+	checkFailed       bool // a check has failed since the last sign of life
+	closedInOrder     bool // the last connection to end was closed in order by the core
+	used              float64
+	usedKnown         bool
+	contradiction     *stateContradiction
+	contradictedSince time.Duration // since when its own group states contradict its calls, 0 if they agree
+}
+
+// stateContradiction is a group state of a later process with too few circuits in use to include the calls of an
+// earlier one.
+type stateContradiction struct {
+	at           time.Duration
+	unattributed float64 // circuits in use that the later process's own calls do not account for
+}
+
+// width returns the number of circuits of the calls that were answered at or before a time.
+func (p *process) width(before time.Duration) float64 {
+	sum := 0.0
+	for _, k := range p.calls {
+		if k.answeredAt <= before {
+			sum += k.width
+		}
+	}
+	return sum
+}
+
+// responding reports whether the process has an open connection on which a message was received, and gave a sign of life so
+// recently that no check was due.
+func (p *process) responding(now time.Duration) bool {
+	for _, c := range p.connections {
+		if c.received {
+			return now-p.lastAliveAt < CheckAfter+CheckInterval
+		}
+	}
+	return false
+}
+
+// lacksCalls reports whether a later process has shown that it does not have the calls of this one, and has had time to
+// release those that have ended.
+func (p *process) lacksCalls(now time.Duration) bool {
+	return p.contradiction != nil && now-p.contradiction.at >= ReleaseGrace &&
+		minInUse(p.width(p.contradiction.at-settleTime)) > p.contradiction.unattributed
+}
+
+// expire removes the calls of a process and returns them as an Expiry.
+func (p *process) expire(reason Reason, now time.Duration) Expiry {
+	e := Expiry{Reason: reason, UnresponsiveFor: now - p.lastAliveAt}
+	for id := range p.calls {
+		e.Calls = append(e.Calls, id)
+	}
+	slices.Sort(e.Calls)
+	clear(p.calls)
+	p.contradiction = nil
+	return e
+}
+
+// newest returns the process that is at the core's address now.
+func (l *Lease) newest() *process { return l.processes[len(l.processes)-1] }
+
+// laterProcesses returns the processes that follow p, which has to be listed, in order.
+func (l *Lease) laterProcesses(p *process) []*process {
+	index := slices.Index(l.processes, p)
+	return slices.Clone(l.processes[index+1:])
+}
+
+// remove takes a process off the list.
+func (l *Lease) remove(p *process) {
+	l.processes = slices.DeleteFunc(l.processes, func(q *process) bool { return q == p })
+}
+
+// merge combines two processes that are the same into one.
+func (l *Lease) merge(into, from *process) {
+	for id, c := range from.connections {
+		c.process = into
+		into.connections[id] = c
+	}
+	for id, k := range from.calls {
+		into.calls[id] = k
+	}
+	into.lastAliveAt = max(into.lastAliveAt, from.lastAliveAt)
+	into.seenAlive = into.seenAlive || from.seenAlive
+	into.checkFailed, into.contradiction = false, nil
+	if from.usedKnown {
+		into.used, into.usedKnown = from.used, true
+	}
+	l.remove(from)
+}
+
+// markSuccessors records that p has ended and the processes after it are others.
+func (l *Lease) markSuccessors(p *process) {
+	for _, later := range l.laterProcesses(p) {
+		later.successor = true
+	}
+}
