corelink: TestCallsOnUnlistedCore waits for its events instead of times

The program is unchanged.

Cause: the test took for granted that a dial is refused within 200 ms and that the former core was connected before its end. Shown: without the wait it failed 3 of 3 times at the same line; beside load 8 of 48 processes failed, and the one log read shows the former core reset before the connection was up ("connection reset by peer"), so that no process had been known there.

Change: it waits in the log for the connection and for the refused dial.

--- a/internal/corelink/pool_test.go
+++ b/internal/corelink/pool_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -126,6 +127,28 @@
 	require.Equal(t, []string{"000000000000000a", "000000000000000a"}, lostKeys())
 }
 
+// waitTimeout is the maximum wait for an event; only a failing test reaches it.
+const waitTimeout = 10 * time.Second
+
+// logBuffer collects the log.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+// contains reports whether the log contains a text.
+func (b *logBuffer) contains(text string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Contains(b.text.String(), text)
+}
+
 // listedRecorder records the calls that are kept when their core leaves the membership list, and what becomes of them.
 type listedRecorder struct {
 	core.Events
@@ -163,18 +186,20 @@
 	for _, listedAgain := range []bool{true, false} {
 		l, err := net.Listen("tcp", net.JoinHostPort(testhost.Host(), "0"))
 		require.NoError(t, err)
-		events := &listedRecorder{}
-		p := New(t.Context(), Config{Connections: 1, Origin: time.Now().Add(-time.Hour), Log: slog.New(slog.DiscardHandler)})
+		events, log := &listedRecorder{}, &logBuffer{}
+		p := New(t.Context(), Config{Connections: 1, Origin: time.Now().Add(-time.Hour),
+			Log: slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug}))})
 		p.Serve(events)
 		address := l.Addr().String()
 		start := p.sinceOrigin(time.Now())
 		p.Update([]Core{{ID: 1, Addr: address}})
 		former, err := l.Accept()
 		require.NoError(t, err)
+		require.Eventually(t, func() bool { return log.contains("core_connected") }, waitTimeout, time.Millisecond)
 		require.NoError(t, l.Close()) // the former core ends
 		require.NoError(t, former.(*net.TCPConn).SetLinger(0))
 		require.NoError(t, former.Close())
-		time.Sleep(2 * minReconnectDelay) // a dial is refused
+		require.Eventually(t, func() bool { return log.contains("refused=true") }, waitTimeout, time.Millisecond)
 		l, err = net.Listen("tcp", address)
 		require.NoError(t, err)
 		defer l.Close()
@@ -192,7 +217,7 @@
 				events.mu.Lock()
 				defer events.mu.Unlock()
 				return condition()
-			}, 2*time.Second, time.Millisecond)
+			}, waitTimeout, time.Millisecond)
 		}
 		eventually(func() bool { return len(events.answered) == 1 })
 
@@ -218,6 +243,6 @@
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			return len(p.endpoints) == 0
-		}, 2*time.Second, time.Millisecond, "the endpoint is dropped with its last call")
+		}, waitTimeout, time.Millisecond, "the endpoint is dropped with its last call")
 	}
 }
