Free circuits that were never reported no longer count as none

Cause: a report with the size of a group and without its free circuits (answers on connections that do not lead) left free at 'absent', which hasCapacity took for none free. Nothing was sent there, so no further report came. Change: while free circuits are not reported, those of the group's size that the controller does not use count as free; the estimate of incoming calls uses it too.

--- a/attempts.go
+++ b/attempts.go
@@ -126,7 +126,7 @@
 				other.backOffUntil = max(other.backOffUntil, now+time.Duration(c.targetWait*float64(time.Millisecond)))
 			}
 		} else if o.Reason != ReasonNotSent && !known(o.Report.Free) {
-			e.free = 0
+			e.free, e.freeReported = 0, true
 		}
 		e.unanswered = max(0, e.unanswered-1)
 	case ResultOK, ResultError:
--- a/budgets.go
+++ b/budgets.go
@@ -57,7 +57,7 @@
 // group that are in use and not by calls of this controller.
 func (c *Controller) closePeriod(now time.Duration) {
 	for _, e := range c.exchanges {
-		e.incoming.current = max(0, e.size-max(0, e.free)-e.circuitsInUse) / c.meanWidth /
+		e.incoming.current = max(0, e.size-max(0, e.freeCircuits())-e.circuitsInUse) / c.meanWidth /
 			c.meanHold.Seconds() * ratePeriod.Seconds()
 		for _, counter := range []*rateCounter{&e.offered, &e.admitted, &e.incoming, &e.transit} {
 			counter.roll()
--- a/controller.go
+++ b/controller.go
@@ -52,6 +52,7 @@
 	number        int
 	readySwitch   *Switch // nil if no switch is ready
 	free, size    float64 // circuits of the local group toward it, Absent until reported
+	freeReported  bool    // free was reported or is known to be 0; else it is estimated, see freeCircuits
 	circuitsInUse float64 // circuits in use by calls that this controller handles
 
 	offered, admitted, incoming, transit rateCounter
@@ -263,7 +264,7 @@
 		e.size = r.Size
 	}
 	if known(r.Free) {
-		e.free = r.Free
+		e.free, e.freeReported = r.Free, true
 	}
 	if withFigures && (known(r.Queue) || known(r.Util) || known(r.Wait) || known(r.Rate) || known(r.HoldBack)) {
 		e.report, e.reportedAt = r, now
--- a/routes.go
+++ b/routes.go
@@ -17,9 +17,20 @@
 	return max(minReserve, math.Floor(e.blocking*maxReserveShare*max(0, e.size)))
 }
 
+// freeCircuits returns the number of free circuits of the group toward an exchange. While only the size of the group has
+// been reported, the circuits that this controller does not use count as free.
+func (e *exchange) freeCircuits() float64 {
+	if !e.freeReported {
+		return e.size - e.circuitsInUse
+	}
+	return e.free
+}
+
 // hasCapacity reports whether the group toward an exchange has circuits for a call of this width with spare
 // circuits left. A group whose size is unknown counts as free.
-func (e *exchange) hasCapacity(width, spare float64) bool { return e.size < 0 || e.free-spare >= width }
+func (e *exchange) hasCapacity(width, spare float64) bool {
+	return e.size < 0 || e.freeCircuits()-spare >= width
+}
 
 // latestSend returns the latest time to send a set-up to an exchange so that the call stands within its aim. At
 // most half the aim is allowed for the set-up delay.
@@ -149,7 +160,7 @@
 	}
 	chosen, sum := (*exchange)(nil), 0.0
 	for _, e := range c.exchanges {
-		if weight := max(1, e.free-e.reserve()); c.usableTandem(now, p, e) {
+		if weight := max(1, e.freeCircuits()-e.reserve()); c.usableTandem(now, p, e) {
 			if sum += weight; c.rng.Float64()*sum < weight {
 				chosen = e
 			}
