Group states that arrive before their core is listed are kept until it is

Cause: connections to a new core open before the engine has the list that names it. The core's first state, sent once, was passed to the module, which ignores reports of unknown switches. Change: the engine keeps unsolicited reports of unlisted cores (256 at most) and applies each with the list that names its core.

--- a/cmd/brookmux/operate_test.go
+++ b/cmd/brookmux/operate_test.go
@@ -323,9 +323,8 @@
 		require.Regexp(t, fmt.Sprintf(`(?s)<number>%d</number>.*?<state>.*?<origin>%s</origin>`, n, want), got)
 	}
 	all := load(ctx, 2, 1, 2, 3, 4, 5, 6, 7, 8)
-	for cores[6].SetUps() < 20 || cores[7].SetUps() < 20 {
-		time.Sleep(10 * time.Millisecond) // calls arrive meanwhile
-	}
+	require.Eventually(t, func() bool { return cores[6].SetUps() >= 20 && cores[7].SetUps() >= 20 }, time.Minute,
+		10*time.Millisecond, "the new exchanges get set-ups on their direct routes")
 	cancel()
 	for _, calls := range [][]*loopback.Call{<-old, <-all} {
 		require.NotEmpty(t, calls)
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -23,6 +23,7 @@
 	endedRetention     = 30 * time.Second      // keys of ended calls are kept for one to two of these periods
 	maxEndedKeys       = 16384                 // per period
 	maxMovedIDs        = 256                   // former ids of cores that are kept, see Moved
+	maxEarlyReports    = 256                   // group states of cores that are not listed yet
 
 	// Callers send requests for up to 600 ms after SIGTERM, and the last ones may be read late: set-ups are accepted
 	// for drainAcceptance, and the drain lasts at least drainMin.
@@ -77,6 +78,7 @@
 	knownExchanges   map[int]bool                            // every exchange that was ever listed
 	published        map[int]Condition                       // of exchanges, as last published
 	groupSizes       map[int]float64                         // circuits toward exchanges, as last reported
+	earlyReports     map[brookmux.SwitchID]brookmux.Report   // group states of cores that are not listed yet
 	planned          map[int]float64                         // planned set-ups a second, by exchange
 	openCalls        int                                     // calls that await a final answer
 	maxBytes         atomic.Int64                            // limit on heldBytes, 0 for none
@@ -99,7 +101,8 @@
 		classes: map[string]int{}, calls: map[string]*call{}, byID: map[brookmux.CallID]*call{},
 		switches: map[brookmux.SwitchID]brookmux.Switch{}, drained: make(chan struct{}),
 		setUpCounters: map[int]*setUpCounter{}, knownExchanges: map[int]bool{},
-		movedIDs: map[brookmux.SwitchID]brookmux.SwitchID{}, groupSizes: map[int]float64{}, published: map[int]Condition{}}
+		movedIDs: map[brookmux.SwitchID]brookmux.SwitchID{}, groupSizes: map[int]float64{},
+		earlyReports: map[brookmux.SwitchID]brookmux.Report{}, published: map[int]Condition{}}
 	e.endedKeys = [2]map[string]struct{}{{}, {}}
 	e.maxBytes.Store(c.MaxBytes)
 	var err error
@@ -260,6 +263,9 @@
 			e.knownExchanges[s.Number] = true
 		}
 		e.ctl.MembersChanged(e.now, m)
+		for _, s := range m.Switches {
+			e.applyEarlyReport(s.ID)
+		}
 		e.publishConditions()
 		e.Config.Log.Debug("members", "kind", m.Kind, "switches", m.Switches, "now", e.now)
 	})
@@ -270,14 +276,37 @@
 	e.post(func() { e.applyReport(from, r, unsolicited) })
 }
 
-// applyReport passes a report to the module and keeps the size of the trunk group.
+// applyReport passes a report to the module and keeps the size of the trunk group. An unsolicited report of a core that is
+// not listed is kept until it is: cores report the state of a group when a connection opens, and then only its changes.
 func (e *Engine) applyReport(from brookmux.SwitchID, r brookmux.Report, unsolicited bool) {
-	if s, ok := e.switches[from]; ok && r.Size >= 0 {
+	s, listed := e.switches[from]
+	switch {
+	case listed && r.Size >= 0:
 		e.groupSizes[s.Number] = r.Size
+	case !listed && unsolicited:
+		e.keepEarlyReport(from, r)
 	}
 	e.ctl.Probed(e.now, brookmux.ProbeResult{Switch: from, OK: true, Unsolicited: unsolicited, Report: r})
 }
 
+// keepEarlyReport keeps the report of a core that is not listed. At the limit those of other cores are dropped: they are
+// mostly the last reports of cores that have gone.
+func (e *Engine) keepEarlyReport(from brookmux.SwitchID, r brookmux.Report) {
+	if len(e.earlyReports) >= maxEarlyReports {
+		clear(e.earlyReports)
+	}
+	e.earlyReports[from] = r
+}
+
+// applyEarlyReport applies the report of a core that was kept until the core is listed, if there is one.
+func (e *Engine) applyEarlyReport(id brookmux.SwitchID) {
+	r, kept := e.earlyReports[id]
+	if _, listed := e.switches[id]; kept && listed {
+		delete(e.earlyReports, id)
+		e.applyReport(id, r, true)
+	}
+}
+
 // SetMaxOpenCalls sets the maximum number of calls that may await a final answer at a time; 0 means no limit.
 func (e *Engine) SetMaxOpenCalls(n int) { e.post(func() { e.maxOpen = n }) }
 
