Stand-in core: a release that a cut-off holds back is sent after it

Cause: the stand-in recorded the release, noted it as sent and then waited in the write for the end of the cut-off. By then the connection was closed, and the 2 s in which a release is repeated on new connections were over. Change: a release is recorded when it is written. If the core is paused or the connection unusable by then, it waits and chooses a connection anew, or is queued for the next one.

--- a/internal/faulttrial/core.go
+++ b/internal/faulttrial/core.go
@@ -69,7 +69,7 @@
 			return nil, fmt.Errorf("faulttrial: core: %w", err)
 		}
 		link := &controllerLink{core: c, controller: name, listener: listener.(*net.TCPListener), address: listener.Addr().String(), size: circuits,
-			conns: map[*coreConn]struct{}{}}
+			conns: map[*coreConn]struct{}{}, recentReleases: map[string]time.Time{}}
 		c.links[name] = link
 		go link.acceptConnections(link.listener)
 	}
@@ -188,16 +188,26 @@
 	}
 	c.removeCall(call)
 	c.record.Add(Event{Kind: CoreEnd, Call: call.id, Core: c.ID, Controller: call.link.controller, Text: "finished"})
-	conn := call.link.connectionFor(call)
-	if conn == nil {
-		call.link.queuedReleases = append(call.link.queuedReleases, call.id)
-	} else {
-		call.link.recentReleases = append(call.link.recentReleases, sentRelease{call.id, time.Now()})
-		c.record.Add(Event{Kind: CoreRelease, Call: call.id, Core: c.ID, Controller: call.link.controller})
-	}
 	c.mu.Unlock()
-	if conn != nil {
-		conn.send(coreMessage{Type: "release", ID: call.id, Cause: 16})
+	c.sendRelease(call.link, call.id, call.conn)
+}
+
+// sendRelease sends the release of a call that has ended, on the preferred connection if it is usable, or queues it while
+// no connection is. While the core is paused it waits, and chooses the connection after that.
+func (c *CoreProcess) sendRelease(link *controllerLink, call string, preferred *coreConn) {
+	for c.waitResumed() {
+		c.mu.Lock()
+		conn := link.usableConnection(preferred)
+		if conn == nil {
+			link.queuedReleases = append(link.queuedReleases, call)
+			c.mu.Unlock()
+			return
+		}
+		link.recentReleases[call] = time.Now()
+		c.mu.Unlock()
+		if conn.writeReleases(call) {
+			return
+		}
 	}
 }
 
@@ -208,21 +218,25 @@
 		c.mu.Unlock()
 		return
 	}
-	releases := map[*coreConn][]byte{}
+	releases := map[*coreConn][]string{}
 	for _, call := range c.calls {
-		conn := call.link.connectionFor(call)
+		conn := call.link.usableConnection(call.conn)
 		if conn == nil || !call.stands {
 			continue
 		}
-		call.link.recentReleases = append(call.link.recentReleases, sentRelease{call.id, time.Now()})
+		call.link.recentReleases[call.id] = time.Now()
 		c.removeCall(call) // also stops the timer of its hold time
 		c.record.Add(Event{Kind: CoreEnd, Call: call.id, Core: c.ID, Controller: call.link.controller, Text: "finished"})
-		c.record.Add(Event{Kind: CoreRelease, Call: call.id, Core: c.ID, Controller: call.link.controller})
-		releases[conn] = append(releases[conn], encodeLine(coreMessage{Type: "release", ID: call.id, Cause: 16})...)
+		releases[conn] = append(releases[conn], call.id)
 	}
 	c.mu.Unlock()
-	for conn, lines := range releases {
-		conn.sendBytes(lines)
+	for conn, calls := range releases {
+		if conn.writeReleases(calls...) {
+			continue
+		}
+		for _, call := range calls {
+			c.sendRelease(conn.link, call, conn)
+		}
 	}
 }
 
--- a/internal/faulttrial/core_connections.go
+++ b/internal/faulttrial/core_connections.go
@@ -22,20 +22,14 @@
 	address        string
 	size, used     int
 	conns          map[*coreConn]struct{}
-	queuedReleases []string // ids of calls whose releases wait for a connection
-	recentReleases []sentRelease
-	queueFillers   []net.Conn // keep the accept queue full while the core is unreachable
-	unserved       []net.Conn // accepted while the core was paused or unreachable
-	unreachable    bool       // new connections are not established
+	queuedReleases []string             // ids of calls whose releases wait for a connection
+	recentReleases map[string]time.Time // when the releases of the last releaseRepeatPeriod were sent, by call
+	queueFillers   []net.Conn           // keep the accept queue full while the core is unreachable
+	unserved       []net.Conn           // accepted while the core was paused or unreachable
+	unreachable    bool                 // new connections are not established
 	acceptDelay    time.Duration
 }
 
-// sentRelease is a release that was sent and is kept for releaseRepeatPeriod to be repeated.
-type sentRelease struct {
-	call   string
-	sentAt time.Time
-}
-
 // coreConn is a connection from the controller to the core.
 type coreConn struct {
 	net.Conn
@@ -84,20 +78,20 @@
 	state := link.stateMessage()
 	releases := link.queuedReleases
 	link.queuedReleases = nil
-	kept := link.recentReleases[:0]
 	// Repeat them on each new connection: one that is closed already may be accepted before the others.
-	for _, release := range link.recentReleases {
-		if time.Since(release.sentAt) < releaseRepeatPeriod {
-			releases = append(releases, release.call)
-			kept = append(kept, release)
+	for call, sentAt := range link.recentReleases {
+		if time.Since(sentAt) < releaseRepeatPeriod {
+			releases = append(releases, call)
+		} else {
+			delete(link.recentReleases, call)
 		}
 	}
-	link.recentReleases = kept
 	c.mu.Unlock()
 	conn.send(state)
 	for _, call := range releases {
-		c.record.Add(Event{Kind: CoreRelease, Call: call, Core: c.ID, Controller: link.controller})
-		conn.send(coreMessage{Type: "release", ID: call, Cause: 16})
+		if !conn.writeReleases(call) {
+			c.sendRelease(link, call, conn)
+		}
 	}
 	conn.readMessages()
 }
@@ -149,6 +143,11 @@
 	if !conn.link.core.waitResumed() || conn.corrupted.Load() || conn.forgotten.Load() {
 		return
 	}
+	conn.write(b)
+}
+
+// write writes encoded messages at once. The caller holds writeMu.
+func (conn *coreConn) write(b []byte) {
 	if conn.link.core.behaviour.Pieces {
 		_ = writeInPieces(conn.Conn, b)
 		return
@@ -156,6 +155,27 @@
 	_, _ = conn.Write(b) // the reader detects an error as the connection's end
 }
 
+// writeReleases writes and records the releases of calls in a single write. It reports whether it did: nothing is written
+// while the core is paused, or on a connection that is no longer usable.
+func (conn *coreConn) writeReleases(calls ...string) bool {
+	core := conn.link.core
+	conn.writeMu.Lock()
+	defer conn.writeMu.Unlock()
+	var lines []byte
+	core.mu.Lock()
+	if core.paused || core.ended || !conn.usable() {
+		core.mu.Unlock()
+		return false
+	}
+	for _, call := range calls {
+		core.record.Add(Event{Kind: CoreRelease, Call: call, Core: core.ID, Controller: conn.link.controller})
+		lines = append(lines, encodeLine(coreMessage{Type: "release", ID: call, Cause: 16})...)
+	}
+	core.mu.Unlock()
+	conn.write(lines)
+	return true
+}
+
 // usable reports whether the controller may still read what is written on the connection.
 func (conn *coreConn) usable() bool {
 	return !conn.corrupted.Load() && !conn.forgotten.Load() && !peerClosed(conn.Conn)
@@ -253,11 +273,11 @@
 	}
 }
 
-// connectionFor returns the connection for messages on a call: that of its set-up or, if it is no longer usable, any
-// other; nil without a usable connection. The caller holds the core's mutex.
-func (link *controllerLink) connectionFor(call *coreCall) *coreConn {
-	if _, open := link.conns[call.conn]; open && call.conn.usable() {
-		return call.conn
+// usableConnection returns the connection for messages on a call: the preferred one, which is that of its set-up, or any
+// other if that is no longer usable; nil without a usable connection. The caller holds the core's mutex.
+func (link *controllerLink) usableConnection(preferred *coreConn) *coreConn {
+	if _, open := link.conns[preferred]; open && preferred.usable() {
+		return preferred
 	}
 	for conn := range link.conns {
 		if conn.usable() {
