A drain closes a connection only when its reader has nothing left to handle

Callers saw: on a busy machine, set-ups sent up to 57 ms before a draining program's end got no answer, though the program had them. Cause: the front closed a connection's writing half when the last message was handled 100 ms ago, and then ignored set-ups. On a busy machine input waits longer than that, in the socket or in the reader's buffer. Change: the front interrupts the wait of the goroutine that reads the connection, and that goroutine closes the writing half, unless input is buffered or unread or a set-up is pending. Room for new connections is not made with unread input either, and the program does not end while a connection waits to be accepted. The closing of connections has a file of its own now.

--- a/internal/sipfront/conn.go
+++ b/internal/sipfront/conn.go
@@ -5,7 +5,6 @@
 	"hash/maphash"
 	"io"
 	"net"
-	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -49,9 +48,13 @@
 
 	mu         sync.Mutex
 	closing    bool                     // no further set-ups are accepted and no releases are sent
-	halfClosed bool                     // closeGracefully has closed the writing half
+	halfClosed bool                     // halfClose has closed the writing half
 	invites    map[string]pendingInvite // set-ups awaiting their final answer, by Call-ID
 	byes       map[string]sentRelease   // unacknowledged releases, by Call-ID
+
+	waiting        bool          // the reading goroutine waits for a message, and none of its input is buffered
+	closeRequested bool          // the front has interrupted that wait to close the writing half
+	closeWait      time.Duration // time that the caller then has to close the connection
 }
 
 // pendingInvite is a set-up awaiting its final answer. The hash of its content distinguishes a retransmission from a
@@ -112,48 +115,6 @@
 	c.front.removeConn(c)
 }
 
-// connectionEnded reports whether an error of reading means that the connection can't be used any more, because the
-// caller or the writer has ended it.
-func connectionEnded(err error) bool {
-	opErr := (*net.OpError)(nil)
-	return errors.Is(err, io.EOF) || errors.As(err, &opErr) && !opErr.Timeout()
-}
-
-// awaitAnswers waits until no set-up is pending or the caller ends the connection. Input is read and discarded, as the
-// start of the next message in it is not known. The wait ends with the last deadline, by which the engine has answered.
-func (c *conn) awaitAnswers() {
-	for !c.idle() {
-		err := c.nc.SetReadDeadline(time.Now().Add(discardInterval))
-		if err == nil {
-			_, err = io.Copy(io.Discard, c.nc)
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return
-		}
-	}
-}
-
-// cleanlyClosed reports whether the caller closed the connection after the writing half was closed, and so has read
-// all that was written. err is the error that ended reading.
-func (c *conn) cleanlyClosed(err error) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.halfClosed && errors.Is(err, io.EOF)
-}
-
-// markClosing marks the connection as closing, and removes and returns the keys of its pending set-ups.
-func (c *conn) markClosing() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closing = true
-	keys := make([]string, 0, len(c.invites))
-	for k := range c.invites {
-		keys = append(keys, k)
-	}
-	clear(c.invites)
-	return keys
-}
-
 // readMessages handles messages until the connection ends, its framing is lost or this side has to end it.
 func (c *conn) readMessages(r *stream.Reader) error {
 	for {
@@ -178,46 +139,6 @@
 	}
 }
 
-// endDue returns why this side has to end the connection, or nil. While a set-up is pending, its answer is still due.
-func (c *conn) endDue() error {
-	switch {
-	case !c.idle():
-		return nil
-	case c.keyReused:
-		return errKeyReused
-	case c.faults.Load() >= maxFaults: // a caller may resend a rejected message without end
-		return errTooManyFaults
-	}
-	return nil
-}
-
-// awaitMessage waits for the first byte of a message and sets the read deadline for the rest of it. It fails once the
-// connection has been idle too long, so that idle connections do not hold descriptors that active callers need.
-func (c *conn) awaitMessage(r *stream.Reader) error {
-	deadline, received := time.Now().Add(idleTimeout), c.received.Load()
-	if !received {
-		deadline = c.createdAt.Add(firstMessageTimeout)
-	}
-	for {
-		if err := c.nc.SetReadDeadline(deadline); err != nil {
-			return err
-		}
-		b, err := r.R.Peek(1)
-		switch {
-		case err == nil && (b[0] == '\r' || b[0] == '\n'): // keep-alive
-			_, _ = r.R.Discard(1) // the byte is buffered: Discard cannot fail
-		case err == nil && !received:
-			return nil
-		case err == nil:
-			return c.nc.SetReadDeadline(time.Now().Add(messageTimeout))
-		case errors.Is(err, os.ErrDeadlineExceeded) && received && (!c.idle() || c.standingCalls.Load() > 0):
-			deadline = time.Now().Add(idleTimeout)
-		default:
-			return err
-		}
-	}
-}
-
 // handle handles a message. An error ends the connection.
 func (c *conn) handle(m message) error {
 	if m.status != 0 {
@@ -383,54 +304,6 @@
 	return len(c.invites) == 0
 }
 
-// evict closes a connection that has no pending set-ups, and reports whether it did. Set-ups read afterwards are
-// ignored: the caller sees the close and resends them on another connection.
-func (c *conn) evict() bool {
-	c.mu.Lock()
-	idle := len(c.invites) == 0
-	c.closing = c.closing || idle
-	c.mu.Unlock()
-	if idle {
-		c.Finish()
-	}
-	return idle
-}
-
-// closeGracefully closes the writing half of a connection that has no pending set-ups, once its queued output is
-// written, and reports whether it did. Reading continues until the caller closes the connection too, for at most
-// closeTimeout: an immediate close would discard output that the caller has not read. Set-ups read afterwards are
-// ignored, as after evict. The front's lock must be held.
-func (c *conn) closeGracefully(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closing || len(c.invites) > 0 {
-		return false
-	}
-	c.closing, c.halfClosed = true, true
-	c.HalfClose()
-	time.AfterFunc(c.front.limitWait(now, closeTimeout), c.Close)
-	return true
-}
-
-// expectsTraffic reports whether a message was received within drainIdleTime, or the acknowledgement of a release may
-// still arrive. The front's lock must be held.
-func (c *conn) expectsTraffic(now time.Time) bool {
-	if now.UnixNano()-c.lastReceived.Load() < int64(drainIdleTime) {
-		return true
-	}
-	if !c.front.callersAcknowledge.Load() {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, s := range c.byes {
-		if now.Sub(s.writtenAt) < c.front.limitWait(s.writtenAt, drainAckWait) {
-			return true
-		}
-	}
-	return false
-}
-
 // Answered implements core.Caller.
 func (c *conn) Answered(key string, description []byte) {
 	c.faults.Store(0)
--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -62,6 +62,7 @@
 	callersAcknowledge atomic.Bool // a caller has acknowledged a release
 
 	mu        sync.Mutex
+	listener  net.Listener // the last one passed to Serve
 	conns     map[*conn]struct{}
 	killAt    time.Time        // when the process may be killed, zero before SIGTERM
 	unsent    []release        // waiting for a connection that is used for calls
@@ -78,6 +79,9 @@
 // Connections that are already open stay open. It closes l when the context ends.
 func (f *Front) Serve(ctx context.Context, l net.Listener) error {
 	defer context.AfterFunc(ctx, func() { l.Close() })()
+	f.mu.Lock()
+	f.listener = l
+	f.mu.Unlock()
 	go f.watch(ctx)
 	for {
 		c, err := l.Accept()
@@ -250,10 +254,11 @@
 }
 
 // Shutdown closes all connections gracefully; it is called when no call is left. Each is closed once no more messages
-// are expected on it, or closeTimeout before the deadline. It returns when the callers have closed theirs too, or at
-// the deadline. The engine must keep running meanwhile, to reject set-ups that still arrive.
+// are expected on it, or closeTimeout before the deadline. It returns when the callers have closed theirs too and no
+// connection waits to be accepted, or at the deadline. The engine must keep running meanwhile, to reject set-ups that
+// still arrive.
 func (f *Front) Shutdown(deadline time.Time) Unfinished {
-	for now := time.Now(); now.Before(deadline) && f.closeSettled(now, deadline) > 0; now = time.Now() {
+	for now := time.Now(); now.Before(deadline) && (f.closeSettled(now, deadline) > 0 || f.mustAccept()); now = time.Now() {
 		time.Sleep(shutdownInterval)
 	}
 	f.mu.Lock()
@@ -279,6 +284,13 @@
 	}
 }
 
+// mustAccept reports whether a connection waits to be accepted.
+func (f *Front) mustAccept() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return hasUnread(f.listener)
+}
+
 // closeSettled gracefully closes the connections on which no message is expected, or all of them from closeTimeout
 // before the deadline on. It returns the number of connections that are open.
 func (f *Front) closeSettled(now, deadline time.Time) int {
