Stand-in core: listening at a freed address waits for processes being started

Cause: trials start programs all the time, and between fork and exec a child has copies of all sockets, so a listener that was closed still occupies its address. Change: a stand-in core tries for up to 1 s to listen at an address that was given. Waiting for syscall.ForkLock alone was not enough: a child closes its copies shortly after that is free.

--- a/internal/faulttrial/core.go
+++ b/internal/faulttrial/core.go
@@ -1,10 +1,12 @@
 package faulttrial
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -12,6 +14,8 @@
 	maxStateConnections = 4               // a change of a group's state is sent on at most this many connections
 	releaseRepeatPeriod = 2 * time.Second // a release is repeated on each connection opened within this time
 	maxMessageLength    = 16 << 10        // bytes, of a message to a core or of a SIP body
+	freedAddressTimeout = time.Second     // wait until a freed address can be listened at
+	listenRetryDelay    = time.Millisecond
 )
 
 // CoreBehaviour configures how a stand-in core serves calls. Shares are between 0 and 1.
@@ -63,7 +67,7 @@
 		if address == "" {
 			address = net.JoinHostPort(host, "0")
 		}
-		listener, err := net.Listen("tcp", address)
+		listener, err := listen(address)
 		if err != nil {
 			c.Crash()
 			return nil, fmt.Errorf("faulttrial: core: %w", err)
@@ -76,6 +80,19 @@
 	return c, nil
 }
 
+// listen listens at an address that may have been freed just now: a process that is being started holds copies of all
+// sockets for a moment, so the address can stay in use for that long.
+func listen(address string) (net.Listener, error) {
+	deadline := time.Now().Add(freedAddressTimeout)
+	for {
+		listener, err := net.Listen("tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return listener, err
+		}
+		time.Sleep(listenRetryDelay)
+	}
+}
+
 // Address returns the address at which a controller reaches the core.
 func (c *CoreProcess) Address(controller string) string { return c.links[controller].address }
 
