Calls end with their core when set-ups are lost at the process that follows it

Callers saw: calls of a vanished core were released up to 13.5 s after their end, with the list that dropped the core; without one, never. Cause: the process that took the address showed that it lacks the calls, but within the second that is left for late releases it reached their number with set-ups lost with a connection, which take circuits and are no longer pending. evaluateState then merged the two, and the new process kept the lease alive. Change: with a contradiction on record, a later state is no proof while the circuits that were unattributed then are too few for the calls.

--- a/internal/liveness/evidence.go
+++ b/internal/liveness/evidence.go
@@ -75,6 +75,8 @@
 			if p.contradiction == nil {
 				p.contradiction = &stateContradiction{at: now, unattributed: sender.used - sender.width(now-settleTime)}
 			}
+		case p.contradiction != nil && p.contradiction.unattributed < minInUse(width):
+			// Circuits that were taken since then are not those of its calls.
 		case sender.used >= minInUse(width)+l.laterWidth(p, now):
 			l.merge(p, sender)
 			sender = p // holds the states and the calls of both
--- a/internal/liveness/lease_test.go
+++ b/internal/liveness/lease_test.go
@@ -446,3 +446,33 @@
 	c.advance(10 * time.Second)
 	require.Empty(t, c.expired)
 }
+
+// TestLostSetUpsOfSuccessor guards against calls that outlive their process: a process that has taken the address first
+// shows that it does not have them, and then reaches their number with set-ups that are lost on its connection and still
+// take circuits there.
+func TestLostSetUpsOfSuccessor(t *testing.T) {
+	c := newCore(t)
+	c.disappear()
+	c.advance(1500 * time.Millisecond)
+	c.acceptsDials, c.used = true, 0
+	c.dial()
+	first := c.lastID
+	for i := range 3 {
+		c.lease.SetUpSent(fmt.Sprint("lost", i), 1, first)
+	}
+	c.used = 3
+	c.lease.MessageReceived(first, c.now, c.state())
+	c.lease.Disconnected(first, c.now, EndLocal)
+	delete(c.open, first)
+	for i := range 3 {
+		c.lease.SetUpEnded(fmt.Sprint("lost", i))
+	}
+	c.dial() // its state counts the lost set-ups
+	c.advance(500 * time.Millisecond)
+	c.used = 0     // they are released
+	for range 80 { // it sends so often that no check is due
+		c.lease.MessageReceived(c.lastID, c.now, c.state())
+		c.advance(100 * time.Millisecond)
+	}
+	require.Equal(t, map[string]Reason{"call0": ReasonReplaced, "call1": ReasonReplaced}, c.expired)
+}
