--- a/internal/corelink/pool_test.go
+++ b/internal/corelink/pool_test.go
@@ -109,13 +109,7 @@
 	require.Eventually(t, func() bool { return len(lostKeys()) > 0 }, time.Second, time.Millisecond)
 	require.Equal(t, []string{"000000000000000a"}, lostKeys())
 
-	l, err = net.Listen("tcp", address)
-	require.NoError(t, err)
-	defer l.Close()
-	conn, err := l.Accept()
-	require.NoError(t, err)
-	defer conn.Close()
-	lines := bufio.NewScanner(conn)
+	_, lines := acceptAt(t, address)
 	for _, call := range []string{"000000000000000a", "000000000000000b"} {
 		require.True(t, lines.Scan())
 		require.Equal(t, string(encodeCause(kindRelease, call, 16)), lines.Text()+"\n")
@@ -200,13 +194,7 @@
 		require.NoError(t, former.(*net.TCPConn).SetLinger(0))
 		require.NoError(t, former.Close())
 		require.Eventually(t, func() bool { return log.contains("refused=true") }, waitTimeout, time.Millisecond)
-		l, err = net.Listen("tcp", address)
-		require.NoError(t, err)
-		defer l.Close()
-		conn, err := l.Accept()
-		require.NoError(t, err)
-		defer conn.Close()
-		lines := bufio.NewScanner(conn)
+		conn, lines := acceptAt(t, address)
 		p.SetUp(1, core.Attempt{Key: standing, Timeout: time.Second, Width: 1})
 		require.True(t, lines.Scan())
 		_, err = conn.Write([]byte(`{"type":"answer","id":"` + standing + `","fields":{},"sdp":""}` + "\n"))
@@ -246,3 +234,14 @@
 		}, waitTimeout, time.Millisecond, "the endpoint is dropped with its last call")
 	}
 }
+
+// acceptAt listens at an address, accepts one connection there, and returns it with a scanner of its lines.
+func acceptAt(t *testing.T, address string) (net.Conn, *bufio.Scanner) {
+	l, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	conn, err := l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	return conn, bufio.NewScanner(conn)
+}
