Failing tests: calls of a replaced core on a group that others use; why processes merge

The stand-in core of the fault trials gets calls of others on its groups, a replacement without any sign, one that is killed in its hang, and a list that precedes the end; a killed process resets the connections that it had not accepted yet.

--- a/internal/corelink/connection.go
+++ b/internal/corelink/connection.go
@@ -271,12 +271,8 @@
 	}
 	c.messageReceived = true
 	c.received(now, e.statesSeen)
-	processes := e.lease.Processes()
 	e.lease.MessageReceived(c.id, e.pool.sinceOrigin(now), m.evidence())
-	if merged := e.lease.Processes(); merged != processes {
-		e.pool.Log.Debug("core_processes_merged", "core", e.id(), "connection", c.id, "before", processes, "after", merged,
-			"calls", e.lease.Calls())
-	}
+	e.logMerges()
 	setUp, openHere := c.pending[m.id]
 	elsewhere := e.pendingElsewhere(c, m.id)
 	switch {
--- a/internal/corelink/endpoint.go
+++ b/internal/corelink/endpoint.go
@@ -258,6 +258,7 @@
 // tickLease advances the lease, starts the check that it requests, and returns the expired calls. The lock is held.
 func (e *endpoint) tickLease(now time.Time) []liveness.Expiry {
 	d := e.lease.Tick(e.pool.sinceOrigin(now))
+	e.logMerges()
 	if d.Check {
 		e.startCheck(d)
 	}
@@ -270,6 +271,13 @@
 	return d.Expired
 }
 
+// logMerges logs which processes with calls were taken for one. The lock is held.
+func (e *endpoint) logMerges() {
+	for _, m := range e.lease.TakeMerges() {
+		e.pool.Log.Info("core_processes_merged", "core", e.id(), "reason", string(m.Reason), "calls", m.Calls, "in_use", m.InUse)
+	}
+}
+
 // closeUnresponsiveSince closes the connections that have received no message since a time. The lock is held.
 func (e *endpoint) closeUnresponsiveSince(at time.Time) {
 	for c := range e.connections {
--- a/internal/faulttrial/core.go
+++ b/internal/faulttrial/core.go
@@ -27,6 +27,8 @@
 	Pieces bool          // write lines in pieces of 1 to 20 bytes
 
 	BreakOff float64 // share of the answers that are truncated by a reset of their connection
+
+	Others OtherTraffic
 }
 
 // CoreProcess is a stand-in core. It has a separate listener for each controller, so that a fault can affect the
@@ -74,10 +76,15 @@
 			return nil, fmt.Errorf("faulttrial: core: %w", err)
 		}
 		link := &controllerLink{core: c, controller: name, listener: listener.(*net.TCPListener), address: listener.Addr().String(), size: circuits,
-			conns: map[*coreConn]struct{}{}, recentReleases: map[string]time.Time{}}
+			others: min(behaviour.Others.Calls, circuits), conns: map[*coreConn]struct{}{}, recentReleases: map[string]time.Time{}}
 		c.links[name] = link
 		go link.acceptConnections(link.listener)
 	}
+	if behaviour.Others.Rate > 0 {
+		for _, link := range c.links {
+			go link.runOtherTraffic(behaviour.Others, seed)
+		}
+	}
 	return c, nil
 }
 
@@ -117,7 +124,7 @@
 		cause, note = 17, ""
 	}
 	serviceTime := time.Duration(c.random.ExpFloat64() * float64(c.behaviour.Work))
-	if conn.link.used >= conn.link.size {
+	if conn.link.inUse() >= conn.link.size {
 		refuse, cause, note = true, 34, "blocked"
 	}
 	call := &coreCall{id: m.ID, link: conn.link, conn: conn}
--- a/internal/faulttrial/core_connections.go
+++ b/internal/faulttrial/core_connections.go
@@ -21,6 +21,7 @@
 	listener       *net.TCPListener
 	address        string
 	size, used     int
+	others         int // circuits of calls that the controller did not send
 	conns          map[*coreConn]struct{}
 	queuedReleases []string             // ids of calls whose releases wait for a connection
 	recentReleases map[string]time.Time // when the releases of the last releaseRepeatPeriod were sent, by call
@@ -109,7 +110,7 @@
 
 // stateMessage returns the message with the group's free and total circuits. The caller holds the core's mutex.
 func (link *controllerLink) stateMessage() coreMessage {
-	return coreMessage{Type: "state", ID: "0000000000000000", Fields: map[string]any{"load": fmt.Sprintf("x0:%d;x1:%d", link.size-link.used, link.size)}}
+	return coreMessage{Type: "state", ID: "0000000000000000", Fields: map[string]any{"load": fmt.Sprintf("x0:%d;x1:%d", link.size-link.inUse(), link.size)}}
 }
 
 // sendState sends the group's state on at most maxStateConnections of the open connections, without waiting. The caller
--- a/internal/faulttrial/core_faults.go
+++ b/internal/faulttrial/core_faults.go
@@ -63,6 +63,17 @@
 	c.cutCalls("vanished")
 }
 
+// VanishInPlace simulates a machine that fails permanently and whose address another one takes at once: its connections
+// stay open without any traffic, and its calls end.
+func (c *CoreProcess) VanishInPlace() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pause()
+	c.record.Add(Event{Kind: Fault, Core: c.ID, Text: "vanished in place"})
+	c.vanished = true
+	c.cutCalls("vanished")
+}
+
 // Vanished reports whether the core's machine has failed for good.
 func (c *CoreProcess) Vanished() bool {
 	c.mu.Lock()
@@ -162,11 +173,15 @@
 	}
 	for _, link := range c.links {
 		link.listener.Close()
-		for _, conn := range append(link.unserved, link.queueFillers...) {
+		for _, conn := range link.queueFillers {
 			conn.Close()
 		}
+		open := link.unserved
 		for conn := range link.conns {
-			if tcpConn, ok := conn.Conn.(*net.TCPConn); ok && reset {
+			open = append(open, conn.Conn)
+		}
+		for _, conn := range open {
+			if tcpConn, ok := conn.(*net.TCPConn); ok && reset {
 				_ = tcpConn.SetLinger(0)
 			}
 			conn.Close()
--- a/internal/faulttrial/incident_test.go
+++ b/internal/faulttrial/incident_test.go
@@ -136,25 +136,28 @@
 	}
 }
 
+// liveFaults are faults of the first core after which its calls still stand.
+var liveFaults = map[string]func(*Lab){
+	"cut off": func(l *Lab) {
+		l.Core(1).CutOff()
+		time.Sleep(5500 * time.Millisecond)
+		l.Core(1).Restore()
+	},
+	"hung": func(l *Lab) {
+		l.Core(1).Hang()
+		time.Sleep(5500 * time.Millisecond)
+		l.Core(1).Restore()
+	},
+	"closes":  func(l *Lab) { l.Core(1).DropIdleConnections("close") },
+	"resets":  func(l *Lab) { l.Core(1).DropIdleConnections("reset") },
+	"forgets": func(l *Lab) { l.Core(1).DropIdleConnections("forget") },
+}
+
 // TestCoreBackInTime checks that calls stay on a core that hangs or is cut off from the network and recovers within the
 // limits, and on one that closes, resets or forgets its connections.
 func TestCoreBackInTime(t *testing.T) {
 	t.Parallel()
-	for name, fault := range map[string]func(*Lab){
-		"cut off": func(l *Lab) {
-			l.Core(1).CutOff()
-			time.Sleep(5500 * time.Millisecond)
-			l.Core(1).Restore()
-		},
-		"hung": func(l *Lab) {
-			l.Core(1).Hang()
-			time.Sleep(5500 * time.Millisecond)
-			l.Core(1).Restore()
-		},
-		"closes":  func(l *Lab) { l.Core(1).DropIdleConnections("close") },
-		"resets":  func(l *Lab) { l.Core(1).DropIdleConnections("reset") },
-		"forgets": func(l *Lab) { l.Core(1).DropIdleConnections("forget") },
-	} {
+	for name, fault := range liveFaults {
 		for _, busy := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, busy %v", name, busy), func(t *testing.T) {
 				t.Parallel()
--- a/internal/faulttrial/lab.go
+++ b/internal/faulttrial/lab.go
@@ -56,7 +56,7 @@
 	var members []Member
 	var exchanges []int
 	for n := 1; n <= c.Cores; n++ {
-		core, err := l.startCore(n, nil)
+		core, err := l.startCoreAs(l.newCoreID(), n, nil, l.behaviour.Others)
 		if err != nil {
 			l.Close()
 			return nil, err
@@ -85,11 +85,6 @@
 	return l, nil
 }
 
-// startCore starts a core of an exchange under a new id. It listens at the given addresses, if any.
-func (l *Lab) startCore(number int, addresses map[string]string) (*CoreProcess, error) {
-	return l.startCoreAs(l.newCoreID(), number, addresses)
-}
-
 // newCoreID returns an id that no core has had.
 func (l *Lab) newCoreID() string {
 	l.mu.Lock()
@@ -98,10 +93,12 @@
 	return fmt.Sprintf("s-%08x", l.lastCoreID)
 }
 
-// startCoreAs starts a core of an exchange under an id and makes it the exchange's current one. If the lab is closed,
-// it ends the core again.
-func (l *Lab) startCoreAs(id string, number int, addresses map[string]string) (*CoreProcess, error) {
-	core, err := StartCore(id, l.host, number, l.circuits, l.controllerNames, addresses, l.behaviour, l.seed+uint64(number)*7, l.Record)
+// startCoreAs starts a core of an exchange under an id, with calls of others on it, and makes it the exchange's current
+// one. It listens at the given addresses, if any. If the lab is closed, it ends the core again.
+func (l *Lab) startCoreAs(id string, number int, addresses map[string]string, others OtherTraffic) (*CoreProcess, error) {
+	behaviour := l.behaviour
+	behaviour.Others = others
+	core, err := StartCore(id, l.host, number, l.circuits, l.controllerNames, addresses, behaviour, l.seed+uint64(number)*7, l.Record)
 	if err != nil {
 		return nil, err
 	}
@@ -135,17 +132,19 @@
 // The new core has the same id if sameID is set, else a new one. Discovery does not list the new core, or with the same
 // id its new start, before Announce.
 func (l *Lab) Replace(number int, sameID bool) error {
+	others := l.behaviour.Others
+	others.Calls = l.Core(number).OtherCalls(l.controllerNames[0])
 	if sameID {
-		return l.replaceAs(l.Core(number).ID, number)
+		return l.replaceAs(l.Core(number).ID, number, others)
 	}
-	return l.replaceAs(l.newCoreID(), number)
+	return l.replaceAs(l.newCoreID(), number, others)
 }
 
-// replaceAs is Replace with the id of the new core.
-func (l *Lab) replaceAs(id string, number int) error {
+// replaceAs is Replace with the id of the new core and the calls of others on it.
+func (l *Lab) replaceAs(id string, number int, others OtherTraffic) error {
 	old := l.Core(number)
 	old.FreeAddresses()
-	core, err := l.startCoreAs(id, number, old.Addresses())
+	core, err := l.startCoreAs(id, number, old.Addresses(), others)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/faulttrial/other_traffic.go
@@ -0,0 +1,54 @@
+package faulttrial
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// OtherTraffic configures the calls that take circuits of a core's groups although the controller did not send them:
+// those from the far end of a group, and those in transit.
+type OtherTraffic struct {
+	Calls int           `json:"calls"` // on each group when the core's process starts
+	Rate  float64       `json:"rate"`  // new calls per second on each group
+	Hold  time.Duration `json:"hold"`  // mean holding time, 0 for calls without an end
+}
+
+// otherTrafficStep is the interval in which calls of others begin and end.
+const otherTrafficStep = 20 * time.Millisecond
+
+// inUse returns the number of circuits in use. The caller holds the core's mutex.
+func (link *controllerLink) inUse() int { return link.used + link.others }
+
+// runOtherTraffic lets calls of others begin and end until the core ends. A core that is paused goes on serving them: only
+// its connections to the controller are affected.
+func (link *controllerLink) runOtherTraffic(t OtherTraffic, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 29))
+	for {
+		time.Sleep(otherTrafficStep)
+		link.core.mu.Lock()
+		if link.core.ended || link.core.vanished {
+			link.core.mu.Unlock()
+			return
+		}
+		before := link.others
+		for range before {
+			if t.Hold > 0 && random.Float64() < float64(otherTrafficStep)/float64(t.Hold) {
+				link.others--
+			}
+		}
+		if random.Float64() < t.Rate*otherTrafficStep.Seconds() && link.inUse() < link.size {
+			link.others++
+		}
+		if link.others != before {
+			link.sendState()
+		}
+		link.core.mu.Unlock()
+	}
+}
+
+// OtherCalls returns the number of circuits that calls of others take on the group towards a controller.
+func (c *CoreProcess) OtherCalls(controller string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.links[controller].others
+}
--- a/internal/faulttrial/replacement.go
+++ b/internal/faulttrial/replacement.go
@@ -22,11 +22,17 @@
 	Listing time.Duration `json:"listing,omitempty"` // from its end until the membership list has the other process
 	Early   time.Duration `json:"early,omitempty"`   // by how much the listed start precedes the listening
 	NoStart bool          `json:"no_start,omitempty"`
+
+	Silent bool          `json:"silent,omitempty"` // its machine vanishes: its connections stay open and silent
+	Killed bool          `json:"killed,omitempty"` // it ends in its hang
+	Lead   time.Duration `json:"lead,omitempty"`   // by how much the list precedes its end, 0 if it follows: see Listing
+	Others OtherTraffic  `json:"others"`           // on the process that follows
 }
 
 // String returns the replacement as text.
 func (r Replacement) String() string {
-	return fmt.Sprintf("hang %v close %v gap %v listing %v early %v no start %v", r.Hang, r.Close, r.Gap, r.Listing, r.Early, r.NoStart)
+	return fmt.Sprintf("hang %v close %v gap %v listing %v early %v no start %v silent %v killed %v lead %v others %+v", r.Hang, r.Close,
+		r.Gap, r.Listing, r.Early, r.NoStart, r.Silent, r.Killed, r.Lead, r.Others)
 }
 
 // drawReplacement draws a replacement: the list may have it before it listens, and too late for the release of calls, and
@@ -49,18 +55,24 @@
 // list has it.
 func (l *Lab) PlayReplacement(number int, r Replacement) error {
 	old := l.Core(number)
-	if !old.Vanished() { // its process has ended then, without a sign
-		r.endProcess(old)
-	}
-	end := time.Now()
 	id := l.newCoreID()
 	listed := make(chan struct{})
-	time.AfterFunc(r.Listing, func() {
+	announce := func(end time.Time) {
 		defer close(listed)
 		l.announceAs(id, old, r.listedStart(end))
-	})
+	}
+	if expectedEnd := time.Now().Add(r.Hang + youngCallPeriod); r.Lead > 0 {
+		time.AfterFunc(time.Until(expectedEnd)-r.Lead, func() { announce(expectedEnd) })
+	}
+	if !old.Vanished() { // its process has ended then, without a sign
+		r.endProcess(old)
+	}
+	end := time.Now()
+	if r.Lead == 0 {
+		time.AfterFunc(r.Listing, func() { announce(end) })
+	}
 	time.Sleep(time.Until(end.Add(r.Gap)))
-	err := l.replaceAs(id, number)
+	err := l.replaceAs(id, number, r.Others)
 	<-listed
 	return err
 }
@@ -70,12 +82,17 @@
 	if r.Hang > 0 {
 		core.Hang()
 		time.Sleep(r.Hang)
-		core.Restore()
+		if !r.Killed {
+			core.Restore()
+		}
 	}
 	time.Sleep(youngCallPeriod)
-	if r.Close {
+	switch {
+	case r.Silent:
+		core.VanishInPlace()
+	case r.Close:
 		core.Exit()
-	} else {
+	default:
 		core.Crash()
 	}
 }
--- a/internal/liveness/evidence.go
+++ b/internal/liveness/evidence.go
@@ -28,7 +28,7 @@
 func (l *Lease) mergeSeenAfter(p *process) {
 	for _, later := range l.laterProcesses(p) {
 		if later.seenAlive {
-			l.merge(p, later)
+			l.merge(p, later, MergeOverlap)
 		}
 	}
 }
@@ -43,10 +43,17 @@
 		p.contradiction = nil // the missing calls were released: the next state decides on the others
 	}
 	for _, later := range l.laterProcesses(p) {
-		if later.seenAlive && (l.carriesNothing(p) || l.indistinguishable(p)) {
-			l.merge(p, later)
-			return
+		switch {
+		case !later.seenAlive:
+			continue
+		case l.carriesNothing(p):
+			l.merge(p, later, MergeNothingStands)
+		case l.indistinguishable(p):
+			l.merge(p, later, MergeNoStates)
+		default:
+			continue
 		}
+		return
 	}
 }
 
@@ -66,7 +73,7 @@
 func (l *Lease) evaluateCall(sender *process, id string) {
 	for _, p := range slices.Clone(l.processes) {
 		if _, ok := p.calls[id]; ok && p != sender {
-			l.merge(p, sender)
+			l.merge(p, sender, MergeCallNamed)
 			return
 		}
 	}
@@ -93,7 +100,7 @@
 			// Circuits that were taken since then are not those of its calls.
 		case l.statesDistrusted:
 		case l.onlyCallsExplain(unexplained, p.width(now), now), p.seriesMatches(sender, unexplained, now):
-			l.merge(p, sender)
+			l.merge(p, sender, MergeCircuits)
 			sender = p // holds the states and the calls of both
 		}
 	}
--- a/internal/liveness/lease.go
+++ b/internal/liveness/lease.go
@@ -78,6 +78,25 @@
 	UnresponsiveFor time.Duration // time since the last sign of life of their process
 }
 
+// MergeReason is why two processes are taken for one.
+type MergeReason string
+
+// Reasons for taking two processes for one.
+const (
+	MergeOverlap       MergeReason = "overlap"        // the earlier one was alive after the later one was reached
+	MergeCallNamed     MergeReason = "call named"     // the later one named a call of the earlier one
+	MergeCircuits      MergeReason = "circuits"       // the circuits in use include those of the calls
+	MergeNothingStands MergeReason = "nothing stands" // no call or set-up depends on which is which
+	MergeNoStates      MergeReason = "no states"      // the core's states can't tell processes apart
+)
+
+// Merge records that a process with standing calls was taken for a later one.
+type Merge struct {
+	Reason MergeReason
+	Calls  int     // of the earlier process
+	InUse  float64 // circuits in use in the later process's last group state
+}
+
 // Decision is the set of actions that Tick requires of the caller.
 type Decision struct {
 	Expired []Expiry
@@ -103,6 +122,7 @@
 	statesDistrusted bool                    // the group states have been observed not to count them
 	lastCheckAt      time.Duration
 	refusedSince     time.Duration // since when all dials are refused, 0 if they are not
+	merges           []Merge       // since the last TakeMerges
 }
 
 // New returns a Lease for a core without connections or calls.
@@ -285,6 +305,13 @@
 	return keys
 }
 
+// TakeMerges returns the merges of processes with calls since it was last called.
+func (l *Lease) TakeMerges() []Merge {
+	merges := l.merges
+	l.merges = nil
+	return merges
+}
+
 // Processes returns the number of processes at the core's address that are not known to be one.
 func (l *Lease) Processes() int { return len(l.processes) }
 
--- a/internal/liveness/process.go
+++ b/internal/liveness/process.go
@@ -135,7 +135,10 @@
 }
 
 // merge combines two processes that are the same into one.
-func (l *Lease) merge(into, from *process) {
+func (l *Lease) merge(into, from *process, why MergeReason) {
+	if len(into.calls) > 0 {
+		l.merges = append(l.merges, Merge{Reason: why, Calls: len(into.calls), InUse: from.used})
+	}
 	for id, c := range from.connections {
 		c.process = into
 		into.connections[id] = c
--- /dev/null
+++ b/internal/liveness/shared_group_test.go
@@ -0,0 +1,128 @@
+package liveness
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const sharedCalls = 12 // calls of this side on the core of newSharedCore
+
+// newSharedCore returns a core with sharedCalls calls, and others of its group's circuits in calls of other senders.
+func newSharedCore(t *testing.T, others float64) *core {
+	c := newCore(t)
+	c.lease.CallEnded("call0", c.now)
+	c.lease.CallEnded("call1", c.now)
+	c.used = others + sharedCalls
+	for i := range sharedCalls {
+		id := ConnectionID(i%3 + 1)
+		c.lease.CallAnswered(fmt.Sprint("shared", i), 1, id, c.now)
+		c.lease.MessageReceived(id, c.now, c.state())
+	}
+	c.advance(1500 * time.Millisecond)
+	require.Empty(t, c.expired)
+	return c
+}
+
+// TestReplacedProcessOnSharedGroup guards against calls that are never released: a process takes the address of theirs,
+// and calls of others take circuits of the group there.
+func TestReplacedProcessOnSharedGroup(t *testing.T) {
+	for name, next := range map[string]struct {
+		before, after float64 // circuits of others on the first and on the next process
+		rate          float64 // by which they grow per second
+	}{
+		"as before":        {before: 20, after: 20},
+		"fewer":            {before: 20, after: 12},
+		"more":             {before: 20, after: 45},
+		"one more":         {before: 0, after: sharedCalls + 1},
+		"all at once":      {before: 0, after: 40},
+		"growing":          {before: 0, after: 0, rate: 12},
+		"growing from few": {before: 10, after: 10, rate: 5},
+	} {
+		for _, end := range []End{EndClosed, EndReset, EndLocal} {
+			c := newSharedCore(t, next.before)
+			ended := c.now
+			c.open = map[ConnectionID]bool{}
+			if end != EndLocal {
+				c.disconnectAll(end)
+			}
+			c.used = next.after
+			for range 3 {
+				c.dial()
+			}
+			for c.now < ended+8*time.Second {
+				c.used = next.after + float64(int(next.rate*(c.now-ended).Seconds()))
+				c.lease.MessageReceived(c.lastID, c.now, c.state())
+				c.advance(200 * time.Millisecond)
+			}
+			require.Len(t, c.expired, sharedCalls, "%s, end %v", name, end)
+			require.LessOrEqual(t, c.expiredAt-ended, LeaseDuration+tick, "%s, end %v", name, end)
+		}
+	}
+}
+
+// TestLateReadMessagesProveNothing guards against calls that are never released: the last message of their process is read
+// just after the first one of the process that has taken its address.
+func TestLateReadMessagesProveNothing(t *testing.T) {
+	for _, last := range []string{"message", "close"} {
+		c := newSharedCore(t, 20)
+		ended := c.now
+		c.open = map[ConnectionID]bool{}
+		c.lease.Disconnected(1, c.now, EndClosed)
+		c.lease.Disconnected(2, c.now, EndClosed)
+		c.used = 20
+		before := c.state()
+		before.Free -= sharedCalls
+		c.dial()
+		if last == "message" {
+			c.lease.MessageReceived(3, c.now, before)
+		} else {
+			c.lease.Retired(3)
+		}
+		c.lease.Disconnected(3, c.now, EndClosed)
+		for c.now < ended+8*time.Second {
+			c.lease.MessageReceived(c.lastID, c.now, c.state())
+			c.advance(200 * time.Millisecond)
+		}
+		require.Len(t, c.expired, sharedCalls, last)
+		require.LessOrEqual(t, c.expiredAt-ended, LeaseDuration+tick, last)
+	}
+}
+
+// TestLiveCallsOnSharedGroup checks that calls stay on a process that lost its connections and comes back in time, while
+// calls of others take circuits of its group.
+func TestLiveCallsOnSharedGroup(t *testing.T) {
+	for _, others := range []float64{0, 20, 40} {
+		for _, outage := range []time.Duration{100 * time.Millisecond, time.Second, 3 * time.Second, 6 * time.Second} {
+			for _, end := range []End{EndClosed, EndReset, EndLocal} {
+				c := newSharedCore(t, others)
+				c.acceptsDials = false
+				c.disconnectAll(end)
+				c.advance(outage)
+				c.acceptsDials = true
+				c.dial()
+				c.advance(20 * time.Second)
+				require.Empty(t, c.expired, "others %v, outage %v, end %v", others, outage, end)
+			}
+		}
+	}
+}
+
+// TestHungProcessIsKept checks that calls stay on a process that hangs and goes on in time: it sends again on a connection
+// from before, while calls of others begin and end on its group.
+func TestHungProcessIsKept(t *testing.T) {
+	c := newSharedCore(t, 30)
+	c.statesOnConnect = false // the kernel accepts connections
+	c.advance(5500 * time.Millisecond)
+	c.statesOnConnect = true
+	for step := range 200 {
+		c.used = sharedCalls + 30 + float64(step%7)
+		for id := range c.open {
+			c.lease.MessageReceived(id, c.now, c.state())
+		}
+		c.advance(100 * time.Millisecond)
+	}
+	require.Empty(t, c.expired)
+}
