Fault trials: calls of others on the groups, replacements without a sign or in a hang

Of a replacement, a quarter have no sign (old connections silent, the next process there at once) and a quarter end in a hang, with the list up to its whole length earlier; of the calls of others a share stands on, all do, or others come at once.

--- a/internal/faulttrial/plan.go
+++ b/internal/faulttrial/plan.go
@@ -49,6 +49,7 @@
 	originalKindCount = 21    // the kinds at the start of FaultKinds that lower seeds draw from
 	firstReplacedSeed = 10000 // lower seeds use the first extendedKindCount kinds
 	extendedKindCount = 23
+	firstSharedSeed   = 20000 // lower seeds have no calls of others on the groups, and no replacements without a sign
 )
 
 // kindsOf returns the kinds of faults that a seed draws from.
@@ -128,6 +129,10 @@
 	if seed >= firstExtendedSeed {
 		p.drawExtendedBehaviour(r)
 	}
+	if seed >= firstSharedSeed {
+		p.Core.Others = drawOtherTraffic(r, p.Circuits)
+		p.Circuits += p.Core.Others.Calls
+	}
 	p.Steps = drawSteps(r, p, only, lowTraffic)
 	return p
 }
@@ -143,6 +148,20 @@
 	}
 }
 
+// drawOtherTraffic draws the calls of others on each group, whose number stays about the same. On some groups there are
+// none, or they neither begin nor end.
+func drawOtherTraffic(r planRand, circuits int) OtherTraffic {
+	if r.chance(0.2) {
+		return OtherTraffic{}
+	}
+	t := OtherTraffic{Calls: 1 + r.IntN(circuits)}
+	if r.chance(0.75) {
+		t.Rate = 0.2 + 8*r.Float64()*r.Float64()
+		t.Hold = time.Duration(float64(t.Calls) / t.Rate * float64(time.Second))
+	}
+	return t
+}
+
 // drawSettings draws the settings of the controllers, with one to three classes.
 func drawSettings(r planRand) Settings {
 	s := Settings{ConnectTimeout: r.between(200*time.Millisecond, time.Second), MaxAttempts: 2 + r.IntN(5), Memory: 96 + 32*r.IntN(4),
@@ -241,6 +260,9 @@
 		s.Count = 6 + r.IntN(20)
 	case FaultReplace:
 		x := drawReplacement(r)
+		if p.Seed >= firstSharedSeed {
+			x.drawSharedGroup(r, p.Core.Others)
+		}
 		s.Replace = &x
 	}
 	return s
--- a/internal/faulttrial/replacement.go
+++ b/internal/faulttrial/replacement.go
@@ -51,6 +51,25 @@
 	return x
 }
 
+// drawSharedGroup draws the calls of others on the process that follows, and ends without a sign or in a hang. Of the calls
+// of others, a share stands on, or as many as there were come at once or one by one.
+func (x *Replacement) drawSharedGroup(r planRand, others OtherTraffic) {
+	x.Others = others
+	switch r.IntN(3) {
+	case 0:
+		x.Others.Calls = int(r.Float64() * float64(others.Calls))
+	case 1:
+		x.Others = OtherTraffic{Calls: r.IntN(60), Rate: 10 * r.Float64(), Hold: 4 * time.Second}
+	}
+	switch r.IntN(4) {
+	case 0:
+		x.Silent, x.Gap = true, 0
+	case 1:
+		x.Killed, x.Hang = true, r.between(300*time.Millisecond, 6*time.Second)
+		x.Lead = r.between(0, x.Hang)
+	}
+}
+
 // PlayReplacement replaces the process of an exchange's core. It returns when the other process listens and the membership
 // list has it.
 func (l *Lab) PlayReplacement(number int, r Replacement) error {
