Requests wait in turn for the engine; answers of cores are read before more are taken

Traces of each request's way showed where it waited. With 1 and 4 connections: up to 220 ms in the engine's queue of 1,024 events, which the flood filled, and 150 to 550 ms for the core's answer, which was unread in its socket while the flood was read. A reader that yields made that longer: it came back with another request each time, and nothing kept the sum of them below what could be served.

Requests now have a queue of their own, unbuffered: each connection waits with one request, in the order of reading, and other events come first. After 16 requests no more are taken while a core's connection has unread input, for 5 ms at most. A flood so waits unread, on its own connections.

Why TestFloodLeavesOthersServed passes beside this was not traced: its calls stand for a minute.

--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -81,7 +81,7 @@
 		if s := m3uaServer.Load(); s != nil {
 			s.SetCondition(exchange, c)
 		}
-	}, Settings: conf.settings, Seed: conf.seed, Trunks: links, Log: log,
+	}, Settings: conf.settings, Seed: conf.seed, Trunks: links, AnswersWait: links.AnswersWait, Log: log,
 		Origin: reader.Origin, Reports: reports, MaxBytes: conf.memory / 8,
 		ReleaseOrphan: func(key string, cause core.Cause) {
 			if s := m3uaServer.Load(); s == nil || !s.ReleaseOrphan(key, cause) {
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -42,6 +42,7 @@
 	Origin         time.Time                     // zero of the engine's clock; before any time passed to the engine
 	ReleaseOrphan  func(key string, cause Cause) // releases a call of an earlier process to its caller, may be nil
 	OnFirstRequest func()                        // called at the first accepted request, may be nil
+	AnswersWait    func() bool                   // reports whether input of cores is unread, may be nil
 	Reports        chan<- Counts                 // receives the totals periodically unless full; may be nil
 
 	Storm             *storm.Storm         // detects and damps retry storms, nil for none
@@ -60,7 +61,8 @@
 type Engine struct {
 	Config
 	ctl       *brookmux.Controller
-	queue     chan func()
+	queue     chan func() // events other than requests, which are handled first
+	requests  requestQueue
 	stepQueue []func()      // replaces queue where Clock is set
 	done      chan struct{} // closed when Run returns
 	timers    timers
@@ -96,7 +98,7 @@
 
 // New returns an Engine, or an error that names the invalid setting.
 func New(c Config) (*Engine, error) {
-	e := &Engine{Config: c, queue: make(chan func(), queueLength), done: make(chan struct{}),
+	e := &Engine{Config: c, queue: make(chan func(), queueLength), requests: newRequestQueue(), done: make(chan struct{}),
 		wakeTimer: time.NewTimer(time.Hour), maxOpen: c.Settings.MaxOpenCalls, reportInterval: countsInterval,
 		classes: map[string]int{}, calls: map[string]*call{}, byID: map[brookmux.CallID]*call{},
 		switches: map[brookmux.SwitchID]brookmux.Switch{}, drained: make(chan struct{}),
@@ -183,13 +185,13 @@
 	}()
 	e.startTimers()
 	for {
-		select {
-		case f := <-e.queue:
+		f, err := e.next(ctx)
+		if err != nil {
+			return nil
+		}
+		if f != nil {
 			e.readClock()
 			f()
-		case <-e.wakeTimer.C:
-		case <-ctx.Done():
-			return nil
 		}
 		e.readClock()
 		e.fireTimers()
--- a/internal/core/intake.go
+++ b/internal/core/intake.go
@@ -13,7 +13,7 @@
 	causeProtocolError    = 111                   // protocol error, unspecified
 )
 
-// Offer submits a request, the first stage. It may block while the queue is full, so that a caller that sends faster
+// Offer submits a request, the first stage. It blocks until the request is taken, so that a caller that sends faster
 // than calls can be decided is slowed down on its own connection. A request that would exceed the memory limit is
 // rejected, and its description is dropped at once.
 func (e *Engine) Offer(r Request) {
@@ -21,13 +21,13 @@
 	if limit := e.maxBytes.Load(); e.heldBytes.Add(size) > limit && limit > 0 {
 		e.heldBytes.Add(-size)
 		r.Description = nil
-		e.post(func() {
+		e.postRequest(func() {
 			e.counts.Full++
 			r.Caller.Refuse(r.Key, Verdict{Wait: e.Settings.Module.MaxRetryAfter, Cause: Congestion, Detail: "no memory"})
 		})
 		return
 	}
-	e.post(func() {
+	e.postRequest(func() {
 		if !e.accept(r, size) {
 			e.heldBytes.Add(-size)
 		}
--- a/internal/corelink/pool.go
+++ b/internal/corelink/pool.go
@@ -10,6 +10,7 @@
 	"brookmux/internal/core"
 	"brookmux/internal/liveness"
 	"brookmux/internal/settings"
+	"brookmux/internal/stream"
 )
 
 const (
@@ -332,6 +333,19 @@
 	return n
 }
 
+// AnswersWait reports whether input of a core is unread.
+func (p *Pool) AnswersWait() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var sockets []any
+	for _, e := range p.endpoints {
+		for c := range e.connections {
+			sockets = append(sockets, c.conn)
+		}
+	}
+	return stream.AnyUnread(sockets)
+}
+
 // SetUp implements core.Trunks.
 func (p *Pool) SetUp(to brookmux.SwitchID, a core.Attempt) {
 	p.mu.Lock()
--- a/internal/stream/poll.go
+++ b/internal/stream/poll.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"slices"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -13,6 +14,9 @@
 	return open && events&unix.POLLIN != 0
 }
 
+// AnyUnread reports whether one of several sockets holds input that this process has not read yet, see HasUnread.
+func AnyUnread(sockets []any) bool { return slices.ContainsFunc(sockets, HasUnread) }
+
 // Ended reports whether a connection carries no answers any more, also while input that came before is unread: the peer
 // has closed its writing half or reset it, or this side has closed it. Without a socket it reports false.
 func Ended(conn any) bool {
