Lease: states that do not match at first rule a later process out; merges keep order

Now the first second of conclusive states decides, and the tolerance is a quarter of the calls at most. TestEarlierProcessNamesLaterCall.

--- a/internal/liveness/evidence.go
+++ b/internal/liveness/evidence.go
@@ -57,7 +57,7 @@
 	}
 	if p.contradiction != nil && now-p.contradiction.at >= ReleaseGrace {
 		p.contradiction = nil // the missing calls were released: the next states decide on the others
-		p.series = stateSeries{}
+		p.series, p.ruledOut = stateSeries{}, nil
 	}
 	for _, later := range l.laterProcesses(p) {
 		if why, merge := l.mergeReason(p, later); merge {
@@ -97,10 +97,15 @@
 // evaluateCall handles a message that names a call. Its sender is the process that answered the call.
 func (l *Lease) evaluateCall(sender *process, id string) {
 	for _, p := range slices.Clone(l.processes) {
-		if _, ok := p.calls[id]; ok && p != sender {
+		if _, ok := p.calls[id]; !ok || p == sender {
+			continue
+		}
+		if slices.Contains(l.laterProcesses(p), sender) {
 			l.merge(p, sender, MergeCallNamed)
-			return
+		} else {
+			l.merge(sender, p, MergeCallNamed)
 		}
+		return
 	}
 }
 
@@ -121,12 +126,16 @@
 			}
 		case p.contradiction != nil && p.contradiction.unattributed < minInUse(settled):
 			// Circuits that were taken since then are not those of its calls.
-		case l.statesDistrusted:
+		case l.statesDistrusted, p.ruledOut == sender:
 		default:
 			p.series.add(sender, l.compare(p, sender, now), now)
-			if p.series.matches() && p.series.complete(now) {
+			switch {
+			case !p.series.complete(now):
+			case p.series.matches():
 				l.merge(p, sender, MergeCircuits)
 				sender = p // holds the states and the calls of both
+			default:
+				p.ruledOut, p.series = sender, stateSeries{} // its circuits may become as many later
 			}
 		}
 	}
--- a/internal/liveness/others.go
+++ b/internal/liveness/others.go
@@ -11,6 +11,9 @@
 	minDriftPeriod  = time.Second     // shortest observation from which a rate of change is computed
 	driftDeviations = 2.5             // tolerated change, in standard deviations of a random walk
 	roundingMargin  = 0.5             // circuits
+	// maxToleranceShare is the largest share of the calls of a process by which those of others may have changed where a
+	// state is to show that its sender has them.
+	maxToleranceShare = 0.25
 	// stateSettleTime is how long a state has to stay the last one before it is compared with the calls: the release of a
 	// call may follow the state that omits it.
 	stateSettleTime = 100 * time.Millisecond
@@ -88,7 +91,7 @@
 	switch {
 	case unexplained.high < fewest || unexplained.low > most:
 		return differing
-	case unexplained.low > p.others.high+tolerance:
+	case unexplained.low > p.others.high+tolerance && maxToleranceShare*p.width(now) >= tolerance-roundingMargin:
 		return matching
 	}
 	return inconclusive
--- a/internal/liveness/process.go
+++ b/internal/liveness/process.go
@@ -50,6 +50,7 @@
 	contradiction     *stateContradiction
 	series            stateSeries
 	others            otherCircuits
+	ruledOut          *process      // a later process whose states did not match, nil if there is none
 	contradictedSince time.Duration // since when its own group states contradict its calls, 0 if they agree
 }
 
@@ -186,6 +187,7 @@
 	into.lastAliveAt = max(into.lastAliveAt, from.lastAliveAt)
 	into.seenAlive = into.seenAlive || from.seenAlive
 	into.ended, into.checkFailed, into.dialFailed, into.contradiction, into.series = false, false, false, nil, stateSeries{}
+	into.ruledOut = nil
 	if from.usedKnown {
 		into.used, into.usedKnown, into.usedSince = from.used, true, from.usedSince
 		into.stateAt, into.stateOutdated = from.stateAt, from.stateOutdated
@@ -194,6 +196,9 @@
 		if p.series.sender == from {
 			p.series.sender = into
 		}
+		if p.ruledOut == from {
+			p.ruledOut = into
+		}
 	}
 	l.remove(from)
 }
--- a/internal/liveness/shared_group_test.go
+++ b/internal/liveness/shared_group_test.go
@@ -127,3 +127,16 @@
 	}
 	require.Empty(t, c.expired)
 }
+
+// TestEarlierProcessNamesLaterCall guards against a crash: the message that names a call arrives on a connection that was
+// opened before the one of its set-up.
+func TestEarlierProcessNamesLaterCall(t *testing.T) {
+	c := newSharedCore(t, 20)
+	c.dial()
+	c.lease.SetUpSent("later", 1, c.lastID)
+	c.lease.CallAnswered("later", 1, c.lastID, c.now)
+	c.lease.MessageReceived(1, c.now, Message{Call: "later"})
+	requireListed(t, c.lease)
+	require.Len(t, c.lease.processes, 1)
+	require.Equal(t, sharedCalls+1, c.lease.Calls())
+}
