Lease: a single call is not told from changes of others' calls by circuits

Where others have circuits, the calls now have to take two at least for such a proof; a single call leaves connections without calls to its process, whose end shows whether it is alive.

--- a/internal/liveness/others.go
+++ b/internal/liveness/others.go
@@ -14,6 +14,8 @@
 	// maxToleranceShare is the largest share of the calls of a process by which those of others may have changed where a
 	// state is to show that its sender has them.
 	maxToleranceShare = 0.25
+	// minWidthBesideOthers is the number of circuits that the calls of a process have to take for that where there are others.
+	minWidthBesideOthers = 2
 	// stateSettleTime is how long a state has to stay the last one before it is compared with the calls: the release of a
 	// call may follow the state that omits it.
 	stateSettleTime = 100 * time.Millisecond
@@ -77,6 +79,12 @@
 	differing                      // it has fewer or more
 )
 
+// tellableBeside reports whether the calls of p are enough to be told from changes of the calls of others.
+func (p *process) tellableBeside(tolerance float64, now time.Duration) bool {
+	width := p.width(now)
+	return maxToleranceShare*width >= tolerance-roundingMargin && (p.others.high == 0 || width >= minWidthBesideOthers)
+}
+
 // compare compares the circuits in use in a state of sender, which follows p, with those of the calls of p and of the
 // others that were last seen beside them. Calls of earlier processes count for those of p: a process that has them is p,
 // too.
@@ -91,7 +99,7 @@
 	switch {
 	case unexplained.high < fewest || unexplained.low > most:
 		return differing
-	case unexplained.low > p.others.high+tolerance && maxToleranceShare*p.width(now) >= tolerance-roundingMargin:
+	case unexplained.low > p.others.high+tolerance && p.tellableBeside(tolerance, now):
 		return matching
 	}
 	return inconclusive
