Lease: a full group proves nothing where others use it

Where others have circuits, a state without a free one is now inconclusive.

Before: the case "full" of TestReplacedProcessOnSharedGroup failed. Now the lease's tests pass.

--- a/internal/liveness/lease.go
+++ b/internal/liveness/lease.go
@@ -180,7 +180,7 @@
 	reportsCircuits := m.GroupState && m.Size >= 0
 	if reportsCircuits {
 		l.statesSeen = true
-		c.process.recordState(m.Size-m.Free, now)
+		c.process.recordState(m.Size-m.Free, m.Free < 1, now)
 	}
 	l.renew(c, now)
 	if m.Call != "" {
--- a/internal/liveness/others.go
+++ b/internal/liveness/others.go
@@ -99,6 +99,8 @@
 	switch {
 	case unexplained.high < fewest || unexplained.low > most:
 		return differing
+	case sender.full && p.others.high > 0: // a group is as full with other calls
+		return inconclusive
 	case unexplained.low > p.others.high+tolerance && p.tellableBeside(tolerance, now):
 		return matching
 	}
--- a/internal/liveness/process.go
+++ b/internal/liveness/process.go
@@ -44,6 +44,7 @@
 	closedInOrder     bool // the last connection to end was closed in order by the core
 	used              float64
 	usedKnown         bool
+	full              bool          // the last state has no free circuit
 	usedSince         time.Duration // since when the states report this number
 	stateAt           time.Duration // when the last state was received
 	stateOutdated     bool          // a call has ended since then
@@ -69,11 +70,12 @@
 	matching int // states with the circuits of the calls and of the others seen beside them
 }
 
-// recordState records the circuits in use that a group state reports.
-func (p *process) recordState(used float64, now time.Duration) {
+// recordState records the circuits in use that a group state reports, and whether all are.
+func (p *process) recordState(used float64, full bool, now time.Duration) {
 	if !p.usedKnown || p.used != used {
 		p.usedSince = now
 	}
+	p.full = full
 	p.used, p.usedKnown, p.stateAt, p.stateOutdated = used, true, now, false
 }
 
@@ -190,6 +192,7 @@
 	into.ruledOut = nil
 	if from.usedKnown {
 		into.used, into.usedKnown, into.usedSince = from.used, true, from.usedSince
+		into.full = from.full
 		into.stateAt, into.stateOutdated = from.stateAt, from.stateOutdated
 	}
 	for _, p := range l.processes {
--- a/internal/liveness/shared_group_test.go
+++ b/internal/liveness/shared_group_test.go
@@ -41,6 +41,7 @@
 		"all at once":      {before: 0, after: 40},
 		"growing":          {before: 0, after: 0, rate: 12},
 		"growing from few": {before: 10, after: 10, rate: 5},
+		"full":             {before: 100 - sharedCalls, after: 100},
 	} {
 		for _, end := range []End{EndClosed, EndReset, EndLocal} {
 			c := newSharedCore(t, next.before)
