Lease: circuits prove nothing beside others if these may be among those left unexplained

A state matched if the range of its circuits that later calls and set-ups may not take only touched what was expected, so beside busy traffic almost any state did. Where others have circuits the whole range now has to match, and no share of the calls may be missing.

--- a/internal/liveness/others.go
+++ b/internal/liveness/others.go
@@ -94,13 +94,17 @@
 	}
 	unexplained := l.unexplained(p, sender, now)
 	tolerance := p.others.tolerance(now)
-	fewest := p.others.low + minInUse(p.width(now-settleTime)) - tolerance
+	settled := p.width(now - settleTime)
+	if p.others.high == 0 { // no calls of others stand in for missing ones
+		settled = minInUse(settled)
+	}
+	fewest := p.others.low + settled - tolerance
 	most := p.others.high + p.width(now) + widthOf(l.earlierProcesses(p), now) + l.pendingWidth(p) + tolerance
 	switch {
 	case unexplained.high < fewest || unexplained.low > most:
 		return differing
-	case sender.full && p.others.high > 0: // a group is as full with other calls
-		return inconclusive
+	case p.others.high > 0 && (sender.full || unexplained.low < fewest || unexplained.high > most):
+		return inconclusive // a group may be as full with other calls, and these may be among the unexplained circuits
 	case unexplained.low > p.others.high+tolerance && p.tellableBeside(tolerance, now):
 		return matching
 	}
