Lease: matching states of a process are no evidence for the one that follows it

What callers saw: calls of a replaced core were not released within 8 s, where its connections had been reset just before it was replaced without a sign.

Cause: a process without calls is merged with the next one at its address, as nothing stands on it ("nothing stands"). The matching states that it had sent about the calls of an earlier process then counted as states of the merged process, so the calls passed to the process that followed.

Change: after such a merge a series of matching states is unconfirmed until another state matches; a state that differs starts a new series.

--- a/internal/liveness/circuits.go
+++ b/internal/liveness/circuits.go
@@ -52,9 +52,10 @@
 	if c == inconclusive {
 		return
 	}
-	if s.sender != sender {
+	if s.sender != sender || s.unconfirmed && c == differing {
 		*s = stateSeries{sender: sender, since: now}
 	}
+	s.unconfirmed = false
 	s.states++
 	if c == matching {
 		s.matching++
@@ -63,12 +64,12 @@
 
 // matches reports whether the calls explain most states of a series.
 func (s *stateSeries) matches() bool {
-	return s.states > 0 && float64(s.matching) >= minSeriesMatching*float64(s.states)
+	return s.states > 0 && !s.unconfirmed && float64(s.matching) >= minSeriesMatching*float64(s.states)
 }
 
 // complete reports whether a series is long enough to decide before the lease ends.
 func (s *stateSeries) complete(now time.Duration) bool {
-	return now-s.since >= minSeriesTime && s.states >= minSeriesStates
+	return !s.unconfirmed && now-s.since >= minSeriesTime && s.states >= minSeriesStates
 }
 
 // minInUse returns the minimum number of circuits in use at which calls of the given width can stand. Of many calls, a
--- a/internal/liveness/process.go
+++ b/internal/liveness/process.go
@@ -68,6 +68,8 @@
 	since    time.Duration
 	states   int
 	matching int // states with the circuits of the calls and of the others seen beside them
+	// unconfirmed is set when the sender was merged with a process that need not be the same, until a state of that one matches.
+	unconfirmed bool
 }
 
 // recordState records the circuits in use that a group state reports, and whether all are.
@@ -199,6 +201,9 @@
 		if p.series.sender == from {
 			p.series.sender = into
 		}
+		if p.series.sender == into && why == MergeNothingStands {
+			p.series.unconfirmed = true
+		}
 		if p.ruledOut == from {
 			p.ruledOut = into
 		}
--- a/internal/liveness/shared_group_test.go
+++ b/internal/liveness/shared_group_test.go
@@ -65,6 +65,27 @@
 	}
 }
 
+// TestReplacedSenderOfMatchingStates guards against calls that are never released: the states of their process match on a
+// new connection, and then another process takes its address without a sign.
+func TestReplacedSenderOfMatchingStates(t *testing.T) {
+	c := newSharedCore(t, 20)
+	c.disconnectAll(EndReset)
+	c.dial()
+	for range 8 {
+		c.lease.MessageReceived(c.lastID, c.now, c.state())
+		c.advance(100 * time.Millisecond)
+	}
+	ended := c.now
+	c.open = map[ConnectionID]bool{}
+	c.used = 21
+	c.dial()
+	for c.now < ended+8*time.Second {
+		c.advance(200 * time.Millisecond)
+	}
+	require.Len(t, c.expired, sharedCalls)
+	require.LessOrEqual(t, c.expiredAt-ended, LeaseDuration+tick)
+}
+
 // TestLateReadMessagesProveNothing guards against calls that are never released: the last message of their process is read
 // just after the first one of the process that has taken its address.
 func TestLateReadMessagesProveNothing(t *testing.T) {
