Lease: a full group is no proof of calls, also where no others were seen

Cause: a state without a free circuit was inconclusive only if others had been seen beside the calls. A group that is full with ours looks the same as one that others fill.

Change: a full group is inconclusive in each case.

Measured: TestReplacedProcessOnSharedGroup, "full of ours", failed before for resets and closes, and passes; the package's other tests pass.

--- a/internal/liveness/lease_test.go
+++ b/internal/liveness/lease_test.go
@@ -13,7 +13,7 @@
 	startTime = time.Hour // initial reading of the simulated clock
 )
 
-// core simulates a core with a group of 100 circuits on its own clock. One process at a time listens at its address.
+// core simulates a core with a group of circuits on its own clock. One process at a time listens at its address.
 type core struct {
 	t     *testing.T
 	lease *Lease
@@ -21,7 +21,7 @@
 
 	acceptsDials    bool // connection attempts succeed
 	refusesDials    bool // connection attempts that fail are refused
-	used            float64
+	used, size      float64
 	statesOnConnect bool // new connections begin with the group's state
 	closesRetired   bool // the core closes its side of retired connections
 	lastID          ConnectionID
@@ -37,7 +37,7 @@
 
 // newCoreWithOthers is newCore with circuits of the group in calls of other senders.
 func newCoreWithOthers(t *testing.T, others float64) *core {
-	c := &core{t: t, lease: New(), now: startTime, acceptsDials: true, statesOnConnect: true, closesRetired: true,
+	c := &core{t: t, lease: New(), now: startTime, size: 100, acceptsDials: true, statesOnConnect: true, closesRetired: true,
 		open: map[ConnectionID]bool{}, closing: map[ConnectionID]bool{}, expired: map[string]Reason{}}
 	c.used = others
 	for range 3 {
@@ -56,7 +56,7 @@
 	return c
 }
 
-func (c *core) state() Message { return Message{GroupState: true, Free: 100 - c.used, Size: 100} }
+func (c *core) state() Message { return Message{GroupState: true, Free: c.size - c.used, Size: c.size} }
 
 func (c *core) dial() {
 	c.dials++
--- a/internal/liveness/others.go
+++ b/internal/liveness/others.go
@@ -103,8 +103,10 @@
 	switch {
 	case unexplained.high < fewest || unexplained.low > most:
 		return differing
-	case p.others.high > 0 && (sender.full || unexplained.low < fewest || unexplained.high > most):
-		return inconclusive // a group may be as full with other calls, and these may be among the unexplained circuits
+	case sender.full:
+		return inconclusive // calls of others fill a group as well
+	case p.others.high > 0 && (unexplained.low < fewest || unexplained.high > most):
+		return inconclusive // calls of others may be among the unexplained circuits
 	case unexplained.low > p.others.high+tolerance && p.tellableBeside(tolerance, now):
 		return matching
 	}
--- a/internal/liveness/shared_group_test.go
+++ b/internal/liveness/shared_group_test.go
@@ -33,6 +33,7 @@
 	for name, next := range map[string]struct {
 		before, after float64 // circuits of others on the first and on the next process
 		rate          float64 // by which they grow per second
+		size          float64 // of the group, 100 if it is 0
 	}{
 		"as before":        {before: 20, after: 20},
 		"fewer":            {before: 20, after: 12},
@@ -42,9 +43,14 @@
 		"growing":          {before: 0, after: 0, rate: 12},
 		"growing from few": {before: 10, after: 10, rate: 5},
 		"full":             {before: 100 - sharedCalls, after: 100},
+		"full of ours":     {before: 0, after: sharedCalls, size: sharedCalls},
 	} {
 		for _, end := range []End{EndClosed, EndReset, EndLocal} {
 			c := newSharedCore(t, next.before)
+			if next.size > 0 {
+				c.size = next.size
+				c.advance(500 * time.Millisecond)
+			}
 			ended := c.now
 			c.open = map[ConnectionID]bool{}
 			if end != EndLocal {
