Lease: a state that was read before a release is no contradiction of live calls

What callers saw: a core that had lost its connections had live calls given up ("replaced"), when calls on its new connections ended.

Cause: a state omits a call as soon as it ends, its release may be read after that. Until then the call counted as one of the sender's, so that circuits seemed to be missing for the calls of the earlier connections. This was kept for good when the release came.

Change: a contradiction keeps the state and its sender. Calls of the sender that have ended since are not counted when it is decided.

Measured: TestStateBeforeRelease failed before (12 live calls given up) and passes, with the other tests of the package.

--- a/internal/liveness/evidence.go
+++ b/internal/liveness/evidence.go
@@ -122,9 +122,9 @@
 		case len(p.calls) == 0, p.ended:
 		case l.statesReliable() && unattributed < minInUse(settled):
 			if p.contradiction == nil {
-				p.contradiction = &stateContradiction{at: now, unattributed: unattributed}
+				p.contradiction = &stateContradiction{at: now, used: sender.used, sender: sender}
 			}
-		case p.contradiction != nil && p.contradiction.unattributed < minInUse(settled):
+		case p.contradiction != nil && p.contradiction.unattributed() < minInUse(settled):
 			// Circuits that were taken since then are not those of its calls.
 		case l.statesDistrusted, p.ruledOut == sender:
 		default:
--- a/internal/liveness/process.go
+++ b/internal/liveness/process.go
@@ -58,10 +58,15 @@
 // stateContradiction is a group state of a later process with too few circuits in use to include the calls of an
 // earlier one.
 type stateContradiction struct {
-	at           time.Duration
-	unattributed float64 // circuits in use that the later process's own calls do not account for
+	at     time.Duration
+	used   float64
+	sender *process
 }
 
+// unattributed returns the circuits in use that the later process's own calls do not account for. Its calls that have
+// ended since may have ended before the state: their releases may be read after it.
+func (c *stateContradiction) unattributed() float64 { return c.used - c.sender.width(c.at-settleTime) }
+
 // stateSeries counts the group states of a later process that were compared with the calls of an earlier one.
 type stateSeries struct {
 	sender   *process
@@ -107,7 +112,7 @@
 // release those that have ended.
 func (p *process) lacksCalls(now time.Duration) bool {
 	return p.contradiction != nil && now-p.contradiction.at >= ReleaseGrace &&
-		minInUse(p.width(p.contradiction.at-settleTime)) > p.contradiction.unattributed
+		minInUse(p.width(p.contradiction.at-settleTime)) > p.contradiction.unattributed()
 }
 
 // expire removes the calls of a process and returns them as an Expiry.
@@ -208,6 +213,11 @@
 			p.ruledOut = into
 		}
 	}
+	for _, p := range l.processes {
+		if p.contradiction != nil && p.contradiction.sender == from {
+			p.contradiction.sender = into
+		}
+	}
 	l.remove(from)
 }
 
--- a/internal/liveness/shared_group_test.go
+++ b/internal/liveness/shared_group_test.go
@@ -92,6 +92,29 @@
 	require.LessOrEqual(t, c.expiredAt-ended, LeaseDuration+tick)
 }
 
+// TestStateBeforeRelease guards against abandoning live calls: a later connection's state omits a call of that connection
+// whose release is read after it.
+func TestStateBeforeRelease(t *testing.T) {
+	c := newSharedCore(t, 0)
+	c.disconnectAll(EndReset)
+	c.statesOnConnect = false
+	c.dial()
+	id := c.lastID
+	for i := range sharedCalls {
+		c.lease.SetUpSent(fmt.Sprint("late", i), 1, id)
+		c.lease.CallAnswered(fmt.Sprint("late", i), 1, id, c.now)
+	}
+	c.used += sharedCalls
+	c.advance(settleTime + tick)
+	c.used -= sharedCalls/2 - 1
+	c.lease.MessageReceived(id, c.now, c.state())
+	for i := range sharedCalls/2 - 1 {
+		c.lease.CallEnded(fmt.Sprint("late", i), c.now)
+	}
+	c.advance(ReleaseGrace + tick)
+	require.Empty(t, c.expired)
+}
+
 // TestLateReadMessagesProveNothing guards against calls that are never released: the last message of their process is read
 // just after the first one of the process that has taken its address.
 func TestLateReadMessagesProveNothing(t *testing.T) {
