Lease: a series of states is kept for each later process, and shows only who sent it

What callers saw: calls of a replaced core were not released within 8 s.

Cause: there was one series of matching states for the calls of a process. A state of another process at the address that showed nothing itself, as its group was full, let the series become long enough, and the calls passed to the sender of that state.

--- a/internal/liveness/circuits.go
+++ b/internal/liveness/circuits.go
@@ -39,39 +39,6 @@
 // circuitRange is a range of numbers of circuits, as it is not certain which of them a state counts.
 type circuitRange struct{ low, high float64 }
 
-// Thresholds for a series of states. A process that takes an address may have as many circuits in use for a moment as the
-// calls of the one before took, but not for long.
-const (
-	minSeriesTime     = time.Second
-	minSeriesStates   = 2
-	minSeriesMatching = 0.75
-)
-
-// add adds a state of a later process to a series.
-func (s *stateSeries) add(sender *process, c comparison, now time.Duration) {
-	if c == inconclusive {
-		return
-	}
-	if s.sender != sender || s.unconfirmed && c == differing {
-		*s = stateSeries{sender: sender, since: now}
-	}
-	s.unconfirmed = false
-	s.states++
-	if c == matching {
-		s.matching++
-	}
-}
-
-// matches reports whether the calls explain most states of a series.
-func (s *stateSeries) matches() bool {
-	return s.states > 0 && !s.unconfirmed && float64(s.matching) >= minSeriesMatching*float64(s.states)
-}
-
-// complete reports whether a series is long enough to decide before the lease ends.
-func (s *stateSeries) complete(now time.Duration) bool {
-	return !s.unconfirmed && now-s.since >= minSeriesTime && s.states >= minSeriesStates
-}
-
 // minInUse returns the minimum number of circuits in use at which calls of the given width can stand. Of many calls, a
 // few may have ended with their releases lost, which does not indicate another process.
 func minInUse(width float64) float64 { return width - math.Floor(width*maxMissingShare) }
--- a/internal/liveness/evidence.go
+++ b/internal/liveness/evidence.go
@@ -57,7 +57,7 @@
 	}
 	if p.contradiction != nil && now-p.contradiction.at >= ReleaseGrace {
 		p.contradiction = nil // the missing calls were released: the next states decide on the others
-		p.series, p.ruledOut = stateSeries{}, nil
+		p.series = nil
 	}
 	for _, later := range l.laterProcesses(p) {
 		if why, merge := l.mergeReason(p, later); merge {
@@ -126,16 +126,16 @@
 			}
 		case p.contradiction != nil && p.contradiction.unattributed() < minInUse(settled):
 			// Circuits that were taken since then are not those of its calls.
-		case l.statesDistrusted, p.ruledOut == sender:
+		case l.statesDistrusted:
 		default:
-			p.series.add(sender, l.compare(p, sender, now), now)
-			switch {
-			case !p.series.complete(now):
-			case p.series.matches():
+			p.addState(sender, l.compare(p, sender, now), now)
+			switch series := p.series[sender]; {
+			case !series.complete(now):
+			case series.matches():
 				l.merge(p, sender, MergeCircuits)
 				sender = p // holds the states and the calls of both
 			default:
-				p.ruledOut, p.series = sender, stateSeries{} // its circuits may become as many later
+				series.ruledOut = true // its circuits may become as many later
 			}
 		}
 	}
@@ -144,11 +144,15 @@
 // mergeBeforeExpiry merges p with the process whose states have the circuits of its calls, if there is one, and reports
 // whether it did. The states until the end of the lease decide, however few they are.
 func (l *Lease) mergeBeforeExpiry(p *process) bool {
-	sender := p.series.sender
-	if p.ended || p.contradiction != nil || l.statesDistrusted || !p.series.matches() || !slices.Contains(l.laterProcesses(p), sender) {
+	if p.ended || p.contradiction != nil || l.statesDistrusted {
 		return false
 	}
-	l.merge(p, sender, MergeCircuits)
+	later := l.laterProcesses(p)
+	i := slices.IndexFunc(later, func(sender *process) bool { return p.series[sender].matches() })
+	if i < 0 {
+		return false
+	}
+	l.merge(p, later[i], MergeCircuits)
 	return true
 }
 
--- a/internal/liveness/lease.go
+++ b/internal/liveness/lease.go
@@ -277,15 +277,6 @@
 	}
 }
 
-// endSeries ends the series of states of a process that has ended a connection: it may have ended itself.
-func (l *Lease) endSeries(sender *process) {
-	for _, p := range l.processes {
-		if p.series.sender == sender {
-			p.series = stateSeries{}
-		}
-	}
-}
-
 // DialFailed records a failed connection attempt; refused says whether the core's host refused it.
 func (l *Lease) DialFailed(now time.Duration, refused bool) {
 	for _, p := range l.processes {
--- a/internal/liveness/process.go
+++ b/internal/liveness/process.go
@@ -49,9 +49,8 @@
 	stateAt           time.Duration // when the last state was received
 	stateOutdated     bool          // a call has ended since then
 	contradiction     *stateContradiction
-	series            stateSeries
+	series            map[*process]*stateSeries // by later process
 	others            otherCircuits
-	ruledOut          *process      // a later process whose states did not match, nil if there is none
 	contradictedSince time.Duration // since when its own group states contradict its calls, 0 if they agree
 }
 
@@ -67,16 +66,6 @@
 // ended since may have ended before the state: their releases may be read after it.
 func (c *stateContradiction) unattributed() float64 { return c.used - c.sender.width(c.at-settleTime) }
 
-// stateSeries counts the group states of a later process that were compared with the calls of an earlier one.
-type stateSeries struct {
-	sender   *process
-	since    time.Duration
-	states   int
-	matching int // states with the circuits of the calls and of the others seen beside them
-	// unconfirmed is set when the sender was merged with a process that need not be the same, until a state of that one matches.
-	unconfirmed bool
-}
-
 // recordState records the circuits in use that a group state reports, and whether all are.
 func (p *process) recordState(used float64, full bool, now time.Duration) {
 	if !p.usedKnown || p.used != used {
@@ -155,6 +144,9 @@
 // remove takes a process off the list.
 func (l *Lease) remove(p *process) {
 	l.processes = slices.DeleteFunc(l.processes, func(q *process) bool { return q == p })
+	for _, q := range l.processes {
+		delete(q.series, p)
+	}
 }
 
 // merge combines two processes that are the same into one, with those that were reached between them: the address was
@@ -195,24 +187,13 @@
 	}
 	into.lastAliveAt = max(into.lastAliveAt, from.lastAliveAt)
 	into.seenAlive = into.seenAlive || from.seenAlive
-	into.ended, into.checkFailed, into.dialFailed, into.contradiction, into.series = false, false, false, nil, stateSeries{}
-	into.ruledOut = nil
+	into.ended, into.checkFailed, into.dialFailed, into.contradiction, into.series = false, false, false, nil, nil
 	if from.usedKnown {
 		into.used, into.usedKnown, into.usedSince = from.used, true, from.usedSince
 		into.full = from.full
 		into.stateAt, into.stateOutdated = from.stateAt, from.stateOutdated
 	}
-	for _, p := range l.processes {
-		if p.series.sender == from {
-			p.series.sender = into
-		}
-		if p.series.sender == into && why == MergeNothingStands {
-			p.series.unconfirmed = true
-		}
-		if p.ruledOut == from {
-			p.ruledOut = into
-		}
-	}
+	l.mergeSeries(into, from, why)
 	for _, p := range l.processes {
 		if p.contradiction != nil && p.contradiction.sender == from {
 			p.contradiction.sender = into
--- a/internal/liveness/shared_group_test.go
+++ b/internal/liveness/shared_group_test.go
@@ -92,6 +92,34 @@
 	require.LessOrEqual(t, c.expiredAt-ended, LeaseDuration+tick)
 }
 
+// TestMatchingStatesOfAnotherProcess guards against calls that are never released: the states of their process match on a
+// connection with a call of its own, and the process that follows fills the group.
+func TestMatchingStatesOfAnotherProcess(t *testing.T) {
+	c := newSharedCore(t, 20)
+	c.disconnectAll(EndReset)
+	c.statesOnConnect = false
+	c.dial()
+	id := c.lastID
+	c.lease.SetUpSent("late", 1, id)
+	c.lease.CallAnswered("late", 1, id, c.now)
+	c.used++
+	c.advance(settleTime + tick)
+	for range 2 {
+		c.lease.MessageReceived(id, c.now, c.state())
+		c.advance(tick)
+	}
+	ended := c.now
+	c.open = map[ConnectionID]bool{}
+	c.size, c.statesOnConnect = c.used, true
+	c.dial()
+	for c.now < ended+8*time.Second {
+		c.lease.MessageReceived(c.lastID, c.now, c.state())
+		c.advance(200 * time.Millisecond)
+	}
+	require.Len(t, c.expired, sharedCalls+1)
+	require.LessOrEqual(t, c.expiredAt-ended, LeaseDuration+tick)
+}
+
 // TestStateBeforeRelease guards against abandoning live calls: a later connection's state omits a call of that connection
 // whose release is read after it.
 func TestStateBeforeRelease(t *testing.T) {
