Lease: one state that does not match rules its sender out

What callers saw: calls of a replaced core were not released within 8 s, where calls of others on the next process passed by the number of theirs.

Cause: three quarters of the states in a second had to match; a process whose circuits grow to as many as the calls took was taken for the earlier one.

Change: one state that differs rules the sender out.

--- a/internal/liveness/evidence.go
+++ b/internal/liveness/evidence.go
@@ -129,13 +129,9 @@
 		case l.statesDistrusted:
 		default:
 			p.addState(sender, l.compare(p, sender, now), now)
-			switch series := p.series[sender]; {
-			case !series.complete(now):
-			case series.matches():
+			if series := p.series[sender]; series.complete(now) && series.matches() {
 				l.merge(p, sender, MergeCircuits)
 				sender = p // holds the states and the calls of both
-			default:
-				series.ruledOut = true // its circuits may become as many later
 			}
 		}
 	}
--- a/internal/liveness/model_test.go
+++ b/internal/liveness/model_test.go
@@ -49,6 +49,8 @@
 	open           []*modelConnection
 	lastID         ConnectionID
 	used           int
+	others         otherCalls
+	size           int
 	atCore         map[string]bool // set-ups and calls that take a circuit
 	queuedReleases []string        // calls whose releases wait for a connection
 	expired        []Expiry
@@ -86,6 +88,7 @@
 			m.events = slices.DeleteFunc(m.events, func(e modelEvent) bool { return e.sequence == first.sequence })
 			first.run()
 		}
+		m.changeOthers()
 		m.closeUnresponsive()
 		d := m.lease.Tick(m.now)
 		m.expired = append(m.expired, d.Expired...)
@@ -145,7 +148,7 @@
 }
 
 func (m *model) sendState(c *modelConnection) {
-	m.send(c, Message{GroupState: true, Free: float64(100 - m.used), Size: 100}, func() {})
+	m.send(c, Message{GroupState: true, Free: float64(m.size - m.used - m.others.inUse), Size: float64(m.size)}, func() {})
 }
 
 func (m *model) sendStates() {
@@ -313,10 +316,16 @@
 
 // newModel returns a model with standing calls.
 func newModel(seed uint64) *model {
-	m := &model{Rand: rand.New(rand.NewPCG(seed, 1)), now: time.Second, lease: New(),
+	return newSharedModel(seed, func(*model) {})
+}
+
+// newSharedModel is newModel with calls of others on the core's group.
+func newSharedModel(seed uint64, setGroup func(m *model)) *model {
+	m := &model{Rand: rand.New(rand.NewPCG(seed, 1)), now: time.Second, lease: New(), size: 100,
 		standing: map[string]bool{}, overAt: map[string]time.Duration{}, atCore: map[string]bool{}}
 	m.setUpTimeout = m.randomDuration(300*time.Millisecond, 4*time.Second)
 	m.meanHold = m.randomDuration(3*time.Second, 20*time.Second)
+	setGroup(m)
 	for range modelConnections {
 		m.dial(func() {})
 	}
--- a/internal/liveness/series.go
+++ b/internal/liveness/series.go
@@ -5,17 +5,15 @@
 // Thresholds for a series of states. A process that takes an address may have as many circuits in use for a moment as the
 // calls of the one before took, but not for long.
 const (
-	minSeriesTime     = time.Second
-	minSeriesStates   = 2
-	minSeriesMatching = 0.75
+	minSeriesTime   = time.Second
+	minSeriesStates = 2
 )
 
 // stateSeries are the group states of one later process that were compared with the calls of an earlier one.
 type stateSeries struct {
-	since    time.Duration
-	states   int
-	matching int  // states with the circuits of the calls and of the others seen beside them
-	ruledOut bool // the states did not match, so the process is another one
+	since  time.Duration
+	states int
+	differ bool // a state did not match, so the process is another one, even if its circuits become as many later
 	// unconfirmed is set when the later process was merged with one that need not be the same, until a state of that one matches.
 	unconfirmed bool
 }
@@ -35,25 +33,21 @@
 	}
 	s.unconfirmed = false
 	s.states++
-	if c == matching {
-		s.matching++
-	}
+	s.differ = s.differ || c == differing
 }
 
 // matches reports whether the states of a series show that the process has the calls.
-func (s *stateSeries) matches() bool {
-	return s != nil && !s.ruledOut && !s.unconfirmed && float64(s.matching) >= minSeriesMatching*float64(s.states)
-}
+func (s *stateSeries) matches() bool { return s != nil && !s.differ && !s.unconfirmed }
 
 // complete reports whether a series is long enough to decide before the lease ends.
 func (s *stateSeries) complete(now time.Duration) bool {
-	return s != nil && !s.unconfirmed && now-s.since >= minSeriesTime && s.states >= minSeriesStates
+	return s != nil && now-s.since >= minSeriesTime && s.states >= minSeriesStates
 }
 
 // endSeries ends the series of a process that has ended a connection: it may have ended itself.
 func (l *Lease) endSeries(sender *process) {
 	for _, p := range l.processes {
-		if s := p.series[sender]; s != nil && !s.ruledOut {
+		if s := p.series[sender]; s != nil && !s.differ {
 			delete(p.series, sender)
 		}
 	}
@@ -73,8 +67,7 @@
 		case other != nil:
 			s.since = min(s.since, other.since)
 			s.states += other.states
-			s.matching += other.matching
-			s.ruledOut = s.ruledOut || other.ruledOut
+			s.differ = s.differ || other.differ
 			s.unconfirmed = s.unconfirmed && other.unconfirmed
 		}
 		s.unconfirmed = s.unconfirmed || why == MergeNothingStands
