Fault trials: TestClosedConnectionIsNotServed waits until the process has stopped

Cause: in the test. SIGSTOP returns before all threads of the controller have stopped, which then read and served set-ups before their client closed. They are served by right.

Change: Controller.Pause waits until each thread is stopped (/proc). The checks are as before.

--- a/internal/faulttrial/clients_test.go
+++ b/internal/faulttrial/clients_test.go
@@ -189,7 +189,7 @@
 			t.Parallel()
 			l := newTestLab(t, nil)
 			conn := dialController(t, l)
-			l.Controller(0).Signal(syscall.SIGSTOP)
+			require.NoError(t, l.Controller(0).Pause())
 			for i := range 100 {
 				_, err := io.WriteString(conn, invite(fmt.Sprintf("f%015x", i), "page", "", ""))
 				require.NoError(t, err)
@@ -214,7 +214,7 @@
 	l := newTestLab(t, nil)
 	first, second := dialController(t, l), dialController(t, l)
 	message := invite("f000000000000001", "page", "", "")
-	l.Controller(0).Signal(syscall.SIGSTOP)
+	require.NoError(t, l.Controller(0).Pause())
 	for _, conn := range []net.Conn{first, second} {
 		_, err := io.WriteString(conn, message)
 		require.NoError(t, err)
--- a/internal/faulttrial/controller.go
+++ b/internal/faulttrial/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -17,6 +18,9 @@
 	"time"
 )
 
+// pauseTimeout is how long a process may take to stop.
+const pauseTimeout = 2 * time.Second
+
 // Settings configures the controllers of a trial. NewPlan draws it from the seed.
 type Settings struct {
 	Classes        []Class       `json:"classes"`
@@ -201,6 +205,40 @@
 	_ = c.command.Process.Signal(signal) // the process may have ended
 }
 
+// Pause stops the process with SIGSTOP and returns when none of its threads runs any more.
+func (c *Controller) Pause() error {
+	c.Signal(syscall.SIGSTOP)
+	c.mu.Lock()
+	tasks := "/proc/" + strconv.Itoa(c.command.Process.Pid) + "/task"
+	c.mu.Unlock()
+	for deadline := time.Now().Add(pauseTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		stopped, err := allStopped(tasks)
+		if stopped || err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("%s still runs %v after SIGSTOP", c.Name, pauseTimeout)
+}
+
+// allStopped reports whether all threads in a folder of /proc are stopped.
+func allStopped(tasks string) (bool, error) {
+	threads, err := os.ReadDir(tasks)
+	if err != nil {
+		return false, err
+	}
+	for _, thread := range threads {
+		stat, err := os.ReadFile(filepath.Join(tasks, thread.Name(), "stat"))
+		if err != nil {
+			return false, err
+		}
+		// The state follows the name, which is in parentheses.
+		if end := bytes.LastIndexByte(stat, ')'); !bytes.HasPrefix(stat[end+1:], []byte(" T")) {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
 // Exited returns a channel that is closed when the present process has ended.
 func (c *Controller) Exited() <-chan struct{} {
 	c.mu.Lock()
