Lease: a quiet core with a full group is checked by replacing its carrying connections

Change: where the newest state is of a full group, a check replaces a connection that carries calls; the core's close of it is a sign of life. The replaced one stays open until that can be told.

Measured: TestQuietFullCoreIsKept failed before and passes.

--- a/internal/liveness/check.go
+++ b/internal/liveness/check.go
@@ -27,7 +27,8 @@
 	}
 	slices.Sort(d.Idle)
 	slices.Sort(d.Carrying)
-	d.ReplaceCarrying = p != l.newest() && !l.statesReliable() && len(d.Carrying) > 0
+	statesDecide := l.statesReliable() && !l.newest().full
+	d.ReplaceCarrying = p != l.newest() && !statesDecide && len(d.Carrying) > 0
 	if p != l.newest() && !d.ReplaceCarrying && l.newestResponding(now) && !l.stateInconclusive(p) {
 		return // the process at the address has sent a message, or still has time to
 	}
--- a/internal/liveness/shared_group_test.go
+++ b/internal/liveness/shared_group_test.go
@@ -190,6 +190,17 @@
 	}
 }
 
+// TestQuietFullCoreIsKept guards against abandoning calls on a live core that sends nothing: its group is full, so its states
+// don't show that it has the calls, and each of its connections carries some.
+func TestQuietFullCoreIsKept(t *testing.T) {
+	for _, others := range []float64{0, 20} {
+		c := newSharedCore(t, others)
+		c.size = c.used
+		c.advance(30 * time.Second)
+		require.Empty(t, c.expired, "others %v", others)
+	}
+}
+
 // TestHungProcessIsKept checks that calls stay on a process that hangs and goes on in time: it sends again on a connection
 // from before, while calls of others begin and end on its group.
 func TestHungProcessIsKept(t *testing.T) {
