Lease: a process's last connection ends only once the newest one is known for a while

What callers saw: calls of a live, quiet core with a full group were given up after 7.4 s (TestVanishedCore, "busy, circuits full").

Cause: the last connection to their process was closed as soon as some later process had been heard for 0.6 s. The connection that replaced it had come up in that moment; that counts as a process of its own, so the core's close came within the time in which reading order proves nothing.

Change: MayHalfClose asks for 0.6 s since the first message of the newest process.

--- a/internal/liveness/lease.go
+++ b/internal/liveness/lease.go
@@ -239,18 +239,14 @@
 }
 
 // MayHalfClose reports whether this side may close its half of a connection that another one replaces. One that holds
-// evidence has to stay open until a process has been seen alive for a while on a later one: its end then shows that both
-// are the same process.
+// evidence has to stay open until the process at the address has been seen alive for a while: its end then shows that both
+// are the same process. One that comes up in between may lead to another process.
 func (l *Lease) MayHalfClose(id ConnectionID, now time.Duration) bool {
 	if !l.HoldsEvidence(id) {
 		return true
 	}
-	for _, later := range l.laterProcesses(l.connections[id].process) {
-		if later.seenAlive && now-later.firstAliveAt >= RetireDelay {
-			return true
-		}
-	}
-	return false
+	newest := l.newest()
+	return newest != l.connections[id].process && newest.seenAlive && now-newest.firstAliveAt >= RetireDelay
 }
 
 // Disconnected records the end of a connection.
--- a/internal/liveness/shared_group_test.go
+++ b/internal/liveness/shared_group_test.go
@@ -201,6 +201,29 @@
 	}
 }
 
+// TestRetiredConnectionWaitsForNewest guards against abandoning calls on a live core: the last connection to its process ends
+// just after another one came up, which is no evidence that both lead to the same process.
+func TestRetiredConnectionWaitsForNewest(t *testing.T) {
+	c := newSharedCore(t, 20)
+	c.size = c.used // its states prove nothing
+	for id := range c.open {
+		if id != 1 {
+			c.lease.Disconnected(id, c.now, EndLocal)
+		}
+	}
+	c.dial()
+	c.now += RetireDelay + tick
+	c.lease.Retired(1)
+	require.True(t, c.lease.MayHalfClose(1, c.now))
+	c.statesOnConnect = false
+	c.dial()
+	require.False(t, c.lease.MayHalfClose(1, c.now))
+	c.lease.MessageReceived(c.lastID, c.now, c.state())
+	require.False(t, c.lease.MayHalfClose(1, c.now))
+	c.now += RetireDelay
+	require.True(t, c.lease.MayHalfClose(1, c.now))
+}
+
 // TestHungProcessIsKept checks that calls stay on a process that hangs and goes on in time: it sends again on a connection
 // from before, while calls of others begin and end on its group.
 func TestHungProcessIsKept(t *testing.T) {
