--- a/internal/m3ua/restart_test.go
+++ b/internal/m3ua/restart_test.go
@@ -111,9 +111,9 @@
 	require.NoError(e.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.server = NewServer(e.config, e.recorder, 4, slog.New(slog.DiscardHandler))
-	served := make(chan error, 1)
+	served := make(chan struct{})
 	server := e.server
-	go func() { served <- server.Serve(ctx, l) }()
+	go func() { _ = server.Serve(ctx, l); close(served) }()
 	e.stopServer = func() { cancel(); <-served; server.Wait() }
 }
 
