--- a/internal/liveness/series.go
+++ b/internal/liveness/series.go
@@ -5,15 +5,17 @@
 // Thresholds for a series of states. A process that takes an address may have as many circuits in use for a moment as the
 // calls of the one before took, but not for long.
 const (
-	minSeriesTime   = time.Second
-	minSeriesStates = 2
+	minSeriesTime     = time.Second
+	minSeriesStates   = 2
+	minSeriesMatching = 0.75 // where no calls of others were seen; beside others all states have to match
 )
 
 // stateSeries are the group states of one later process that were compared with the calls of an earlier one.
 type stateSeries struct {
-	since  time.Duration
-	states int
-	differ bool // a state did not match, so the process is another one, even if its circuits become as many later
+	since    time.Duration
+	states   int
+	matching int
+	ruledOut bool // the process is another one, even if its circuits become as many later
 	// unconfirmed is set when the later process was merged with one that need not be the same, until a state of that one matches.
 	unconfirmed bool
 }
@@ -33,11 +35,16 @@
 	}
 	s.unconfirmed = false
 	s.states++
-	s.differ = s.differ || c == differing
+	if c == matching {
+		s.matching++
+	}
+	s.ruledOut = s.ruledOut || c == differing && p.others.high > 0 || s.complete(now) && !s.matches()
 }
 
 // matches reports whether the states of a series show that the process has the calls.
-func (s *stateSeries) matches() bool { return s != nil && !s.differ && !s.unconfirmed }
+func (s *stateSeries) matches() bool {
+	return s != nil && !s.ruledOut && !s.unconfirmed && float64(s.matching) >= minSeriesMatching*float64(s.states)
+}
 
 // complete reports whether a series is long enough to decide before the lease ends.
 func (s *stateSeries) complete(now time.Duration) bool {
@@ -47,7 +54,7 @@
 // endSeries ends the series of a process that has ended a connection: it may have ended itself.
 func (l *Lease) endSeries(sender *process) {
 	for _, p := range l.processes {
-		if s := p.series[sender]; s != nil && !s.differ {
+		if s := p.series[sender]; s != nil && !s.ruledOut {
 			delete(p.series, sender)
 		}
 	}
@@ -67,7 +74,8 @@
 		case other != nil:
 			s.since = min(s.since, other.since)
 			s.states += other.states
-			s.differ = s.differ || other.differ
+			s.matching += other.matching
+			s.ruledOut = s.ruledOut || other.ruledOut
 			s.unconfirmed = s.unconfirmed && other.unconfirmed
 		}
 		s.unconfirmed = s.unconfirmed || why == MergeNothingStands
