--- a/internal/faulttrial/check_test.go
+++ b/internal/faulttrial/check_test.go
@@ -160,11 +160,18 @@
 	}
 }
 
+// soakSeeds are the seeds of the trials of TestSoak.
+var soakSeeds = []uint64{
+	101, 102, 103, 104, 105, 106, 1005, 1010,
+	2003, 8030, 9023, 9036, 10043, 10124, 10244, 10249,
+	20006, 20010, 20015, 20023, 20026, 20027, 20048, 20058,
+	20066, 20079, 20083, 20092, 20100, 20106,
+}
+
 // TestSoak runs a few trials against the real program; `faultsoak run` runs ranges of seeds.
 func TestSoak(t *testing.T) {
 	t.Parallel()
-	for _, seed := range []uint64{101, 102, 103, 104, 105, 106, 1005, 1010, 2003, 8030, 9023, 9036, 10043, 10124, 10244, 10249, 20006, 20010, 20015, 20023, 20026, 20027, 20048, 20058,
-		20066, 20079, 20083, 20092, 20100, 20106} {
+	for _, seed := range soakSeeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			trial, err := Run(NewPlan(seed, nil), program, t.TempDir(), nil)
--- a/internal/liveness/series.go
+++ b/internal/liveness/series.go
@@ -35,13 +35,18 @@
 	}
 	s.unconfirmed = false
 	s.states++
-	if c == matching {
+	switch {
+	case c == matching:
 		s.matching++
+	case p.others.high > 0:
+		s.ruledOut = true
+	}
+	if s.complete(now) && !s.matches() {
+		s.ruledOut = true
 	}
-	s.ruledOut = s.ruledOut || c == differing && p.others.high > 0 || s.complete(now) && !s.matches()
 }
 
-// matches reports whether the states of a series show that the process has the calls.
+// matches reports whether the states of a series, if there is one, show that the process has the calls.
 func (s *stateSeries) matches() bool {
 	return s != nil && !s.ruledOut && !s.unconfirmed && float64(s.matching) >= minSeriesMatching*float64(s.states)
 }
--- a/internal/liveness/shared_group_test.go
+++ b/internal/liveness/shared_group_test.go
@@ -27,6 +27,21 @@
 	return c
 }
 
+// sendState sends the group's state on the newest connection.
+func (c *core) sendState() { c.lease.MessageReceived(c.lastID, c.now, c.state()) }
+
+// requireReleased checks that a number of calls are released in time after the end of their process. It runs step, which
+// simulates the process that follows, every 200 ms.
+func (c *core) requireReleased(ended time.Duration, calls int, step func(), about ...any) {
+	c.t.Helper()
+	for c.now < ended+releaseDeadline {
+		step()
+		c.advance(200 * time.Millisecond)
+	}
+	require.Len(c.t, c.expired, calls, about...)
+	require.LessOrEqual(c.t, c.expiredAt-ended, LeaseDuration+tick, about...)
+}
+
 // TestReplacedProcessOnSharedGroup guards against calls that are never released: a process takes the address of theirs,
 // and calls of others take circuits of the group there.
 func TestReplacedProcessOnSharedGroup(t *testing.T) {
@@ -60,13 +75,10 @@
 			for range 3 {
 				c.dial()
 			}
-			for c.now < ended+8*time.Second {
+			c.requireReleased(ended, sharedCalls, func() {
 				c.used = next.after + float64(int(next.rate*(c.now-ended).Seconds()))
-				c.lease.MessageReceived(c.lastID, c.now, c.state())
-				c.advance(200 * time.Millisecond)
-			}
-			require.Len(t, c.expired, sharedCalls, "%s, end %v", name, end)
-			require.LessOrEqual(t, c.expiredAt-ended, LeaseDuration+tick, "%s, end %v", name, end)
+				c.sendState()
+			}, "%s, end %v", name, end)
 		}
 	}
 }
@@ -78,18 +90,14 @@
 	c.disconnectAll(EndReset)
 	c.dial()
 	for range 8 {
-		c.lease.MessageReceived(c.lastID, c.now, c.state())
+		c.sendState()
 		c.advance(100 * time.Millisecond)
 	}
 	ended := c.now
 	c.open = map[ConnectionID]bool{}
 	c.used = 21
 	c.dial()
-	for c.now < ended+8*time.Second {
-		c.advance(200 * time.Millisecond)
-	}
-	require.Len(t, c.expired, sharedCalls)
-	require.LessOrEqual(t, c.expiredAt-ended, LeaseDuration+tick)
+	c.requireReleased(ended, sharedCalls, func() {}) // its connections begin with a state
 }
 
 // TestMatchingStatesOfAnotherProcess guards against calls that are never released: the states of their process match on a
@@ -112,12 +120,7 @@
 	c.open = map[ConnectionID]bool{}
 	c.size, c.statesOnConnect = c.used, true
 	c.dial()
-	for c.now < ended+8*time.Second {
-		c.lease.MessageReceived(c.lastID, c.now, c.state())
-		c.advance(200 * time.Millisecond)
-	}
-	require.Len(t, c.expired, sharedCalls+1)
-	require.LessOrEqual(t, c.expiredAt-ended, LeaseDuration+tick)
+	c.requireReleased(ended, sharedCalls+1, c.sendState)
 }
 
 // TestStateBeforeRelease guards against abandoning live calls: a later connection's state omits a call of that connection
@@ -162,12 +165,7 @@
 			c.lease.Retired(3)
 		}
 		c.lease.Disconnected(3, c.now, EndClosed)
-		for c.now < ended+8*time.Second {
-			c.lease.MessageReceived(c.lastID, c.now, c.state())
-			c.advance(200 * time.Millisecond)
-		}
-		require.Len(t, c.expired, sharedCalls, last)
-		require.LessOrEqual(t, c.expiredAt-ended, LeaseDuration+tick, last)
+		c.requireReleased(ended, sharedCalls, c.sendState, last)
 	}
 }
 
