Store members without a log don't elect one that lacks acknowledged changes

Cause: a member without a log bootstrapped the cluster and voted at once, so two of them elected one of them. Each cluster began with term 1, so entries of the two histories looked the same to Raft.

Change: a member without a log does not stand, and votes only for a log than which no other member has a newer one; it asks by Raft's pre-vote request, so the wire form is the same. It works as the most recent log that is left wins, and bootstraps only where none is left.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,6 +13,8 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -69,51 +71,48 @@
 
 // Store is one replica of the replicated map. It is created by Open and safe for concurrent use.
 type Store struct {
-	raft    *raft.Raft
+	raft    atomic.Pointer[raft.Raft]
 	fsm     *fsm
 	layer   *streamLayer
 	log     *slog.Logger
 	closers []io.Closer
+	setup   raftSetup
+	guard   *voteGuard // nil if there are no other members
+
+	done     chan struct{} // closed by Close
+	recovery sync.WaitGroup
+}
+
+// raftSetup is what a Raft instance is created from.
+type raftSetup struct {
+	config    *raft.Config
+	logs      raft.LogStore
+	stable    raft.StableStore
+	snapshots raft.SnapshotStore
+	transport raft.Transport
+	members   []raft.Server
 }
 
-// Open starts a replica. New members bootstrap the cluster with Config.Members; a member that has a log resumes from
-// it. The caller closes the store.
+// Open starts a replica. A member that has a log resumes from it. A new one takes over the log of the other members or,
+// if none of them has one, bootstraps the cluster with Config.Members; it does so in the background, and changes fail
+// with ErrNoLeader meanwhile. The caller closes the store.
 func Open(c Config) (*Store, error) {
-	s := &Store{fsm: newFSM(), log: c.Log}
-	raftConfig := raft.DefaultConfig()
-	raftConfig.LocalID = raft.ServerID(c.ID)
-	raftConfig.SnapshotThreshold, raftConfig.TrailingLogs = snapshotThreshold, trailingLogs
-	raftConfig.Logger = hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: logWriter{c.Log},
-		DisableTime: true})
-	if c.ShortTimeouts || c.Bind == "" { // a single member has no others to wait for
-		raftConfig.HeartbeatTimeout, raftConfig.ElectionTimeout = 150*time.Millisecond, 150*time.Millisecond
-		raftConfig.LeaderLeaseTimeout, raftConfig.CommitTimeout = 100*time.Millisecond, 5*time.Millisecond
-	}
+	s := &Store{fsm: newFSM(), log: c.Log, done: make(chan struct{})}
+	s.setup.config = raftConfig(c)
 	opened := false
 	defer func() {
 		if !opened {
 			s.closeAll()
 		}
 	}()
-	logs, stable, snaps, err := s.openStorage(c)
-	if err != nil {
+	if err := s.openStorage(c); err != nil {
 		return nil, err
 	}
-	transport, members, err := s.openTransport(c)
-	if err != nil {
+	if err := s.openTransport(c); err != nil {
 		return nil, err
 	}
-	hasState, err := raft.HasExistingState(logs, stable, snaps)
-	if err != nil {
-		return nil, fmt.Errorf("store: %w", err)
-	}
-	if s.raft, err = raft.NewRaft(raftConfig, s.fsm, logs, stable, snaps, transport); err != nil {
-		return nil, fmt.Errorf("store: %w", err)
-	}
-	if !hasState {
-		if err := s.raft.BootstrapCluster(raft.Configuration{Servers: members}).Error(); err != nil {
-			return nil, fmt.Errorf("store: bootstrap: %w", err)
-		}
+	if err := s.start(); err != nil {
+		return nil, err
 	}
 	if s.layer != nil {
 		go s.layer.serveForwarded(s.applyLocal)
@@ -122,49 +121,67 @@
 	return s, nil
 }
 
+// raftConfig returns the configuration of Raft.
+func raftConfig(c Config) *raft.Config {
+	r := raft.DefaultConfig()
+	r.LocalID = raft.ServerID(c.ID)
+	r.SnapshotThreshold, r.TrailingLogs = snapshotThreshold, trailingLogs
+	r.Logger = hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: logWriter{c.Log}, DisableTime: true})
+	if c.ShortTimeouts || c.Bind == "" { // a single member has no others to wait for
+		r.HeartbeatTimeout, r.ElectionTimeout = 150*time.Millisecond, 150*time.Millisecond
+		r.LeaderLeaseTimeout, r.CommitTimeout = 100*time.Millisecond, 5*time.Millisecond
+	}
+	return r
+}
+
 // openStorage opens the log, Raft's stable store and the snapshots in Config.Dir, or in memory without one.
-func (s *Store) openStorage(c Config) (raft.LogStore, raft.StableStore, raft.SnapshotStore, error) {
+func (s *Store) openStorage(c Config) error {
 	if c.Dir == "" {
 		m := raft.NewInmemStore()
-		return m, m, raft.NewInmemSnapshotStore(), nil
+		s.setup.logs, s.setup.stable, s.setup.snapshots = m, m, raft.NewInmemSnapshotStore()
+		return nil
 	}
 	if err := os.MkdirAll(c.Dir, 0o700); err != nil {
-		return nil, nil, nil, fmt.Errorf("store: %w", err)
+		return fmt.Errorf("store: %w", err)
 	}
 	bolt, err := raftboltdb.NewBoltStore(filepath.Join(c.Dir, "raft.db"))
 	if err != nil {
-		return nil, nil, nil, fmt.Errorf("store: %s: %w", c.Dir, err)
+		return fmt.Errorf("store: %s: %w", c.Dir, err)
 	}
 	s.closers = append(s.closers, bolt)
-	snaps, err := raft.NewFileSnapshotStore(c.Dir, retainedSnapshots, logWriter{c.Log})
+	snapshots, err := raft.NewFileSnapshotStore(c.Dir, retainedSnapshots, logWriter{c.Log})
 	if err != nil {
-		return nil, nil, nil, fmt.Errorf("store: %s: %w", c.Dir, err)
+		return fmt.Errorf("store: %s: %w", c.Dir, err)
 	}
-	return bolt, bolt, snaps, nil
+	s.setup.logs, s.setup.stable, s.setup.snapshots = bolt, bolt, snapshots
+	return nil
 }
 
-// openTransport opens the transport to the other members and returns it with all members. Without Config.Bind the
-// transport is in memory and this member the only one.
-func (s *Store) openTransport(c Config) (raft.Transport, []raft.Server, error) {
+// openTransport opens the transport to the other members. Without Config.Bind the transport is in memory and this
+// member the only one.
+func (s *Store) openTransport(c Config) error {
 	if c.Bind == "" {
 		addr, t := raft.NewInmemTransport("")
-		return t, []raft.Server{{ID: raft.ServerID(c.ID), Address: addr}}, nil
+		s.setup.transport = t
+		s.setup.members = []raft.Server{{ID: raft.ServerID(c.ID), Address: addr}}
+		return nil
 	}
 	l, err := c.Listener, error(nil)
 	if l == nil {
 		l, err = net.Listen("tcp", c.Bind)
 	}
 	if err != nil {
-		return nil, nil, fmt.Errorf("store: listen: %w", err)
+		return fmt.Errorf("store: listen: %w", err)
 	}
 	s.layer = newStreamLayer(l)
 	t := raft.NewNetworkTransport(s.layer, maxPooledConns, transportTimeout, logWriter{c.Log})
 	s.closers = append(s.closers, t)
-	var members []raft.Server
 	for _, m := range c.Members {
-		members = append(members, raft.Server{ID: raft.ServerID(m.ID), Address: raft.ServerAddress(m.Address)})
+		s.setup.members = append(s.setup.members, raft.Server{ID: raft.ServerID(m.ID), Address: raft.ServerAddress(m.Address)})
 	}
-	return t, members, nil
+	s.guard = s.newGuard(t, c.Dir != "")
+	s.setup.transport = s.guard
+	return nil
 }
 
 // Apply makes a change, on this member if it is the leader and through the leader otherwise, and returns the store's
@@ -175,7 +192,7 @@
 	if !errors.Is(err, raft.ErrNotLeader) {
 		return rev, mapRaftError(err)
 	}
-	leader, _ := s.raft.LeaderWithID()
+	leader, _ := s.raft.Load().LeaderWithID()
 	if leader == "" || s.layer == nil {
 		return 0, ErrNoLeader
 	}
@@ -199,7 +216,7 @@
 // applyLocal applies an encoded change on this member, which must be the leader: else the error is
 // raft.ErrNotLeader.
 func (s *Store) applyLocal(command []byte) (uint64, error) {
-	f := s.raft.Apply(command, applyTimeout)
+	f := s.raft.Load().Apply(command, applyTimeout)
 	if err := f.Error(); err != nil {
 		return 0, err
 	}
@@ -218,11 +235,13 @@
 func (s *Store) Watch() (changes <-chan []Op, cancel func()) { return s.fsm.watch() }
 
 // IsLeader reports whether this member is the leader.
-func (s *Store) IsLeader() bool { return s.raft.State() == raft.Leader }
+func (s *Store) IsLeader() bool { return s.raft.Load().State() == raft.Leader }
 
 // Close stops the replica and closes its transport and files.
 func (s *Store) Close() error {
-	err := s.raft.Shutdown().Error()
+	close(s.done)
+	s.recovery.Wait()
+	err := s.raft.Load().Shutdown().Error()
 	return errors.Join(err, s.closeAll())
 }
 
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"os"
 	"path/filepath"
 	"testing"
 	"time"
@@ -17,14 +18,19 @@
 // cluster holds three replicas on loopback, with their logs in dir.
 type cluster struct {
 	t       *testing.T
-	dir     string
+	dir     string // empty: the logs are in memory
 	members []Member
 	stores  []*Store // nil: stopped
 }
 
 // newCluster starts three replicas, which stop at the end of the test.
-func newCluster(t *testing.T) *cluster {
-	c := &cluster{t: t, dir: t.TempDir(), stores: make([]*Store, 3)}
+func newCluster(t *testing.T) *cluster { return startCluster(t, t.TempDir()) }
+
+// newMemoryCluster is newCluster with the logs in memory.
+func newMemoryCluster(t *testing.T) *cluster { return startCluster(t, "") }
+
+func startCluster(t *testing.T, dir string) *cluster {
+	c := &cluster{t: t, dir: dir, stores: make([]*Store, 3)}
 	var listeners []net.Listener
 	for _, id := range []string{"a", "b", "c"} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -51,7 +57,10 @@
 		require.NoError(c.t, err)
 	}
 	m := c.members[i]
-	dir := filepath.Join(c.dir, m.ID)
+	dir := c.dir
+	if dir != "" {
+		dir = filepath.Join(dir, m.ID)
+	}
 	c.stores[i], err = Open(Config{ID: m.ID, Bind: m.Address, Listener: l, Dir: dir, Members: c.members, ShortTimeouts: true,
 		Log: slog.New(slog.DiscardHandler)})
 	require.NoError(c.t, err)
@@ -64,6 +73,16 @@
 	}
 }
 
+// loseDisk removes the files of a replica that is stopped.
+func (c *cluster) loseDisk(i int) {
+	require.NoError(c.t, os.RemoveAll(filepath.Join(c.dir, c.members[i].ID)))
+}
+
+// waitRecovered waits until replica i has caught up.
+func (c *cluster) waitRecovered(i int) {
+	require.Eventually(c.t, func() bool { return !c.stores[i].guard.recovering.Load() }, testTimeout, time.Millisecond, "replica %d", i)
+}
+
 // waitLeader waits for a leader, and returns the indexes of the leader and of one follower.
 func (c *cluster) waitLeader() (leader, follower int) {
 	deadline := time.Now().Add(testTimeout)
@@ -139,7 +158,7 @@
 	for n := range 3 * snapshotThreshold {
 		c.set(newLeader, "/n", string(rune('a'+n%26)))
 	}
-	require.NoError(t, c.stores[newLeader].raft.Snapshot().Error())
+	require.NoError(t, c.stores[newLeader].raft.Load().Snapshot().Error())
 	c.start(leader, nil)
 	c.waitValue(leader, "/x", "3")
 	c.waitValue(leader, "/n", string(rune('a'+(3*snapshotThreshold-1)%26)))
