Earlier revisions keep the order of access rules: replay the records, undo nothing

Cause: an earlier revision was computed by undoing later changes. The change that removes an entry from a list that is ordered by the user does not say where it was, so it came back at the end.

Change: the store keeps the oldest revision that it can go back to and applies the changes of the records to it in their order. Applying a difference yields the order of the second tree (TestPatch, now with access rules).

--- a/internal/datastore/commit.go
+++ b/internal/datastore/commit.go
@@ -339,34 +339,33 @@
 	}
 }
 
-// Revision returns a copy of running as it was after transaction n. It undoes the later records one by one; a revision
-// before the oldest kept one is an error.
+// Revision returns a copy of running as it was after transaction n. A revision before the oldest kept one is an error.
 func (s *Store) Revision(n uint64) (*schema.Node, error) {
 	if n > s.lastRevision || n < s.minRevision {
 		return nil, newError(schema.InvalidValue, "", "revision %d is not kept: %d to %d are", n, s.minRevision, s.lastRevision)
 	}
-	tree := s.running.Clone()
-	for _, r := range slices.Backward(s.history) {
-		if r.Revision <= n {
+	x, err := s.replay(n)
+	return x.running, err
+}
+
+// replay returns running and startup as they were after transaction n, which must be kept. It applies the changes of
+// the kept records to the oldest revision. Undoing later records would not do: the change that removes an entry from a
+// list that is ordered by the user does not say where it was.
+func (s *Store) replay(n uint64) (content, error) {
+	x := s.oldest.clone()
+	for _, r := range s.history {
+		if r.Revision > n {
 			break
 		}
+		tree := x.running
 		if r.Kind == KindStartup {
-			continue
+			tree = x.startup
 		}
-		if err := tree.Patch(inverse(r.Changes)); err != nil {
-			return nil, fmt.Errorf("datastore: revision %d: %w", r.Revision, err)
+		if err := tree.Patch(r.Changes); err != nil {
+			return content{}, fmt.Errorf("datastore: revision %d: %w", r.Revision, err)
 		}
 	}
-	return tree, nil
-}
-
-// inverse returns the changes that undo the given ones, in reverse order.
-func inverse(changes []schema.Change) []schema.Change {
-	out := make([]schema.Change, 0, len(changes))
-	for _, c := range slices.Backward(changes) {
-		out = append(out, schema.Change{Path: c.Path, Old: c.New, New: c.Old})
-	}
-	return out
+	return x, nil
 }
 
 // Diff returns the changes from one revision of running to another.
--- a/internal/datastore/datastore_test.go
+++ b/internal/datastore/datastore_test.go
@@ -55,7 +55,7 @@
 	b.records = append(b.records, kept)
 	require.NoError(b.t, b.Complete(t))
 	if base, ok, err := b.Trim(); ok {
-		b.FinishTrim(base)
+		require.NoError(b.t, b.FinishTrim(base))
 		for b.records[0].Revision <= base.Revision {
 			b.records = b.records[1:]
 		}
--- a/internal/datastore/restore.go
+++ b/internal/datastore/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"brookmux/internal/schema"
@@ -21,28 +22,26 @@
 	if n <= s.minRevision {
 		return Record{}, false, nil
 	}
-	running, err := s.Revision(n)
+	x, err := s.replay(n)
 	if err != nil {
 		return Record{}, false, err
 	}
-	startup := s.startup.Clone()
-	for i := len(s.history) - 1; i >= 0 && s.history[i].Revision > n; i-- {
-		if r := s.history[i]; r.Kind == KindStartup {
-			if err := startup.Patch(inverse(r.Changes)); err != nil {
-				return Record{}, false, fmt.Errorf("datastore: startup of revision %d: %w", r.Revision, err)
-			}
-		}
-	}
-	return Record{Revision: n, Kind: KindBase, At: s.history[0].At, Items: running.Items(), Startup: startup.Items()}, true, nil
+	return Record{Revision: n, Kind: KindBase, At: s.history[0].At, Items: x.running.Items(), Startup: x.startup.Items()}, true, nil
 }
 
-// FinishTrim drops the records that the base replaces from the history.
-func (s *Store) FinishTrim(base Record) {
-	for len(s.history) > 0 && s.history[0].Revision <= base.Revision {
-		s.history = s.history[1:]
+// FinishTrim drops the records that the base replaces from the history. After an error nothing is dropped.
+func (s *Store) FinishTrim(base Record) error {
+	x, err := s.replay(base.Revision)
+	if err != nil {
+		return err
+	}
+	kept := slices.IndexFunc(s.history, func(r Record) bool { return r.Revision > base.Revision })
+	if kept < 0 {
+		kept = len(s.history)
 	}
-	s.history = append([]Record(nil), s.history...)
-	s.minRevision = base.Revision
+	s.history = slices.Clone(s.history[kept:])
+	s.oldest, s.minRevision = x, base.Revision
+	return nil
 }
 
 // Restore replays stored records, in their order, into a new Store. If the last commit was still pending, Restore
@@ -97,6 +96,7 @@
 		}
 	}
 	s.lastRevision, s.minRevision = r.Revision, r.Revision
+	s.oldest = content{s.running, s.startup}.clone()
 	s.discard()
 	return nil
 }
--- a/internal/datastore/store.go
+++ b/internal/datastore/store.go
@@ -81,10 +81,17 @@
 	lastRevision                uint64        // number of the last completed transaction
 	history                     []Record      // the most recent transactions, oldest first; see Config.Keep
 	minRevision                 uint64        // the oldest revision available, the one before history[0]
+	oldest                      content       // of the datastores after minRevision
 	inProgress                  *Txn          // nil if no transaction is in progress
 	pending                     *confirmation // the commit that awaits its confirmation, or nil
 }
 
+// content is that of the datastores that transactions change.
+type content struct{ running, startup *schema.Node }
+
+// clone returns a deep copy.
+func (x content) clone() content { return content{x.running.Clone(), x.startup.Clone()} }
+
 // errNoSession is returned for a session that does not exist or has ended.
 var errNoSession = errors.New("datastore: no such session")
 
@@ -94,7 +101,7 @@
 		return nil, errors.New("datastore: a model is needed, and Keep and MaxSessions must be at least 1")
 	}
 	return &Store{Config: c, running: c.Model.NewTree(), candidate: c.Model.NewTree(), startup: c.Model.NewTree(),
-		sessions: map[SessionID]Session{}, locks: map[Target]SessionID{}}, nil
+		oldest: content{c.Model.NewTree(), c.Model.NewTree()}, sessions: map[SessionID]Session{}, locks: map[Target]SessionID{}}, nil
 }
 
 // OpenSession opens a session, unless Config.MaxSessions are open already.
--- a/internal/schema/schema_test.go
+++ b/internal/schema/schema_test.go
@@ -147,6 +147,7 @@
 			require.NoError(t, tree.Put(rapid.SampledFrom([]Item{
 				{fmt.Sprintf("/exchanges/exchange[number='%d']/zone", number), rapid.StringMatching(`[a-z]{1,3}`).Draw(t, "zone")},
 				{fmt.Sprintf("/circuit-groups/group[a='%d'][b='%d']/size", number, number+1), fmt.Sprint(number + 1)},
+				{fmt.Sprintf("/nacm/rule-list[name='l']/rule[name='%d']/action", number), "permit"},
 				{"/storm/part[.='budget']", "budget"}, {"/storm/pace", ""}, {"/limits/max-wait", fmt.Sprint(number)}}).Draw(t, "item")))
 		}
 		return tree
--- a/internal/transact/transact.go
+++ b/internal/transact/transact.go
@@ -226,9 +226,10 @@
 	if err == nil && ok && o.Journal != nil {
 		err = o.Journal.Trim(base)
 	}
+	if err == nil && ok {
+		err = o.store.FinishTrim(base)
+	}
 	if err != nil {
 		o.Log.Error("journal not trimmed", "error", err)
-	} else if ok {
-		o.store.FinishTrim(base)
 	}
 }
