Reach the exchanges that were removed shortly before a start, so that their calls end

Cause: the start reverts the trial. A removed exchange drains for two minutes, but only those that the same process had had in service, so after the restart nothing connected to the exchange, and its core had no connection on which to send the release.

The core then releases its calls on the new connection, and no new set-up goes there.

--- a/cmd/brookmux/operate.go
+++ b/cmd/brookmux/operate.go
@@ -243,6 +243,14 @@
 	t.update(brookmux.Full)
 }
 
+// addRemoved adds exchanges that operators removed before the program started.
+func (t *exchangeTable) addRemoved(list []intent.RemovedExchange) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.exchangeMerger.AddRemoved(t.now(), list)
+	t.update(brookmux.Full)
+}
+
 // tick drops removed exchanges whose drain (intent.DrainAfterRemoval) is over.
 func (t *exchangeTable) tick() {
 	t.mu.Lock()
@@ -447,6 +455,7 @@
 		}
 		return nil, err
 	}
+	o.drainRemoved(table, zones)
 	table.mu.Lock()
 	table.onDraining = func(list map[string]string) {
 		_ = o.owner.Do(func(*datastore.Store) error { drains.SetStates(list); return nil }) // can't fail
@@ -481,6 +490,31 @@
 	return o, nil
 }
 
+// drainRemoved has the exchanges drain that were removed shortly before the program started, or by the revert of a pending
+// commit at the start: calls of the process before may stand there.
+func (o *operator) drainRemoved(table *exchangeTable, zones []string) {
+	now := time.Now()
+	var former []datastore.Superseded
+	var err error
+	o.owner.View(func(s *datastore.Store) { former, err = s.SupersededSince(now.Add(-intent.DrainAfterRemoval)) })
+	if err != nil {
+		o.log.Error("removed exchanges not known", "error", err)
+		return
+	}
+	var removed []intent.RemovedExchange
+	for _, x := range former {
+		list, err := intent.Exchanges(schema.WithDefaults(x.Running), zones)
+		if err != nil {
+			o.log.Warn("removed exchanges not known", "error", err)
+			continue
+		}
+		for _, e := range list {
+			removed = append(removed, intent.RemovedExchange{Exchange: e, Ago: now.Sub(x.At)})
+		}
+	}
+	table.addRemoved(removed)
+}
+
 // rules returns the access control rules of the running configuration for a user, nil for a recovery user.
 func (o *operator) rules(user string) (r *nacm.Rules) {
 	if o.recoveryUsers[user] {
--- a/internal/datastore/commit.go
+++ b/internal/datastore/commit.go
@@ -368,6 +368,31 @@
 	return x, nil
 }
 
+// Superseded is a running configuration that another one has replaced.
+type Superseded struct {
+	Running *schema.Node
+	At      time.Time // when it was replaced
+}
+
+// SupersededSince returns the kept configurations that were replaced after a time, the last one first.
+func (s *Store) SupersededSince(after time.Time) ([]Superseded, error) {
+	var out []Superseded
+	x := s.oldest.clone()
+	for _, r := range s.history {
+		if r.Kind == KindStartup || len(r.Changes) == 0 {
+			continue
+		}
+		if r.At.After(after) {
+			out = append(out, Superseded{x.running.Clone(), r.At})
+		}
+		if err := x.running.Patch(r.Changes); err != nil {
+			return nil, fmt.Errorf("datastore: revision %d: %w", r.Revision, err)
+		}
+	}
+	slices.Reverse(out)
+	return out, nil
+}
+
 // Diff returns the changes from one revision of running to another.
 func (s *Store) Diff(from, to uint64) ([]schema.Change, error) {
 	a, err := s.Revision(from)
--- a/internal/datastore/order_test.go
+++ b/internal/datastore/order_test.go
@@ -111,3 +111,27 @@
 		require.Equal(t, []string{"a", "b", "c"}, x.rules(tree))
 	}
 }
+
+// TestSupersededSince checks that former configurations are listed with the time at which they were replaced, also the
+// one that the revert at the start replaces.
+func TestSupersededSince(t *testing.T) {
+	b := newFixture(t)
+	id := b.openSession()
+	b.commitRules(id, Commit{}, "a")
+	b.now = b.now.Add(time.Hour)
+	b.commitRules(id, Commit{}, "b")
+	b.commitRules(id, Commit{Confirmed: true, Persist: "p"}, "c")
+	records, at := b.records, b.now.Add(time.Minute)
+	b = newFixture(t)
+	b.now = at
+	revert, err := b.Restore(records, b.now)
+	require.NoError(t, b.finish(revert, err))
+	got, err := b.SupersededSince(at.Add(-2 * time.Minute))
+	require.NoError(t, err)
+	require.Len(t, got, 3)
+	for i, want := range []string{"c", "b", "a"} {
+		require.Equal(t, []string{want}, b.rules(got[i].Running))
+	}
+	require.Equal(t, at, got[0].At)
+	require.Equal(t, at.Add(-time.Minute), got[1].At)
+}
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -207,6 +207,25 @@
 	}
 }
 
+// RemovedExchange is an exchange that was configured and no longer is.
+type RemovedExchange struct {
+	Exchange
+	Ago time.Duration // since it was removed
+}
+
+// AddRemoved adds the cores of exchanges that were removed before the program started, the last removed ones first.
+// Like those removed later, they drain until DrainAfterRemoval has passed since their removal.
+func (m *Merger) AddRemoved(now time.Duration, list []RemovedExchange) {
+	for _, x := range list {
+		known := slices.ContainsFunc(m.cores, func(k placedCore) bool { return k.Address == x.Address })
+		if known || x.Ago >= DrainAfterRemoval {
+			continue
+		}
+		c := Core{Switch: brookmux.Switch{ID: m.id(x.Exchange), Number: x.Number, Zone: x.Zone}, Address: x.Address}
+		m.cores = append(m.cores, placedCore{Core: c, drainUntil: now + DrainAfterRemoval - max(x.Ago, 0)})
+	}
+}
+
 // id derives a core's id from the exchange number and address, so that it is the same after each start. It is unique
 // among the placed cores, and not 0.
 func (m *Merger) id(x Exchange) brookmux.SwitchID {
--- a/internal/intent/intent_test.go
+++ b/internal/intent/intent_test.go
@@ -81,6 +81,32 @@
 	require.Equal(t, ExchangeOrigin{Learned, "ready"}, origins[2])
 }
 
+// TestRemovedBeforeStart checks that an exchange that was removed before the start drains until its time is over, gets no
+// new calls, and is not added if its address is configured.
+func TestRemovedBeforeStart(t *testing.T) {
+	p := &Merger{}
+	p.SetConfigured(time.Second, []Exchange{{2, "b:1", 0, brookmux.Ready, 0}}, true)
+	p.AddRemoved(time.Second, []RemovedExchange{
+		{Exchange{7, "g:1", 0, brookmux.Ready, 0}, 10 * time.Second},
+		{Exchange{7, "g:1", 0, brookmux.Ready, 0}, time.Minute},
+		{Exchange{8, "h:1", 0, brookmux.Ready, 0}, DrainAfterRemoval},
+		{Exchange{9, "b:1", 0, brookmux.Ready, 0}, 0},
+		{Exchange{2, "b:0", 0, brookmux.Ready, 0}, -time.Hour}, // the clock was set back
+	})
+	_, cores, origins, next := p.Merge(time.Second, nil)
+	require.Len(t, cores, 3)
+	require.Equal(t, []int{2, 7, 2}, []int{cores[0].Number, cores[1].Number, cores[2].Number})
+	require.Equal(t, brookmux.Draining, cores[1].State)
+	require.Equal(t, "b:0", cores[2].Address)
+	require.Equal(t, brookmux.Draining, cores[2].State)
+	require.NotContains(t, origins, 7)
+	require.Equal(t, DrainAfterRemoval-9*time.Second, next)
+	_, cores, _, _ = p.Merge(next, nil)
+	require.Len(t, cores, 2)
+	_, cores, _, _ = p.Merge(time.Second+DrainAfterRemoval, nil)
+	require.Len(t, cores, 1)
+}
+
 // TestSettings checks that configured values replace the platform's settings, and that values that only the platform
 // determines are rejected.
 func TestSettings(t *testing.T) {
