Fault trials: a connection that is cut or forgotten does not answer its end

Cause, in the stand-ins: a caller's connection that was cut "without a FIN or RST" was closed when the controller ended its half, so the controller took the releases on it for read. A core's forgotten connection was dropped from the core's list, and the runtime closed the socket that nothing referred to: its FIN answered the controller's close, which proves that the process lives, also after its crash.

Change: both stay open until the trial ends. No check and no bound changed. With it a drain repeats the release on another connection 0.6 s later, as it does for a caller that is gone.

--- a/internal/faulttrial/caller.go
+++ b/internal/faulttrial/caller.go
@@ -305,6 +305,10 @@
 		time.Sleep(c.behaviour.ReadPause)
 		c.handleMessage(conn, message)
 	}
+	if conn.muted.Load() { // the controller's end does not reach this side, nor is it answered
+		time.AfterFunc(mutedLifetime, func() { conn.Close() })
+		return
+	}
 	c.handleConnectionEnd(conn)
 }
 
--- a/internal/faulttrial/caller_faults.go
+++ b/internal/faulttrial/caller_faults.go
@@ -11,8 +11,11 @@
 // textMuted is the event text of a connection that is cut without a FIN or RST. The checker matches it.
 const textMuted = "connection cut without a sign"
 
+// mutedLifetime is how long such a connection stays open here after the controller has ended it.
+const mutedLifetime = time.Minute
+
 // MuteConnection simulates a connection that is lost without a FIN or RST: from now on, what the controller sends on it
-// is discarded. It picks a connection without unanswered set-ups, and does nothing if there is none or only one
+// is discarded, and its close is not answered. It picks a connection without unanswered set-ups, and does nothing if there is none or only one
 // connection is open.
 func (c *Callers) MuteConnection() {
 	c.mu.Lock()
--- a/internal/faulttrial/core_connections.go
+++ b/internal/faulttrial/core_connections.go
@@ -27,6 +27,7 @@
 	recentReleases map[string]time.Time // when the releases of the last releaseRepeatPeriod were sent, by call
 	queueFillers   []net.Conn           // keep the accept queue full while the core is unreachable
 	unserved       []net.Conn           // accepted while the core was paused or unreachable
+	ignored        []net.Conn           // ended by the controller and not closed here; the runtime closes what nothing refers to
 	unreachable    bool                 // new connections are not established
 	acceptDelay    time.Duration
 }
@@ -254,8 +255,12 @@
 			core.removeCall(call)
 		}
 	}
+	ignored := conn.forgotten.Load() || conn.corrupted.Load()
+	if ignored {
+		conn.link.ignored = append(conn.link.ignored, conn.Conn)
+	}
 	core.mu.Unlock()
-	if !conn.forgotten.Load() && !conn.corrupted.Load() {
+	if !ignored {
 		conn.Close()
 	}
 }
