M3UA: answer a set-up on a circuit whose call its peer has lost

Cause: an IAM on a circuit in use was dropped in any phase of the circuit's call. A call that stands has had its answer; a peer that seizes its circuit again has lost it.

Change: where either of the two calls has no keys, the call that stood is released at its core and the new one is served. An unanswered call keeps its circuit, and so does one whose peer learns of it by call keys.

--- a/internal/m3ua/group.go
+++ b/internal/m3ua/group.go
@@ -62,6 +62,20 @@
 	return c
 }
 
+// freeForgotten frees a circuit on which a call stands that the peer no longer has, and returns it, or nil if there is none.
+// keys are those of the peer's set-up on the circuit. A peer seizes no circuit that it knows to be in use. One that has
+// call keys may have restarted and learn of the call from its announcement; without them it never will.
+func (g *circuitGroup) freeForgotten(cic uint16, keys callKeys) *circuit {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.circuits[cic]
+	if c == nil || c.phase != answered || c.keys.client != "" && keys.client != "" {
+		return nil
+	}
+	g.remove(c)
+	return c
+}
+
 // seizeAny seizes the free circuit with the lowest CIC from 1 to lastCIC, or returns nil if all are in use.
 func (g *circuitGroup) seizeAny(lastCIC int, key string) *circuit {
 	for cic := 1; cic <= lastCIC; cic++ {
--- a/internal/m3ua/server.go
+++ b/internal/m3ua/server.go
@@ -334,6 +334,13 @@
 		keys.server = key
 	}
 	call.circuit = g.seize(m.cic, key, keys, call)
+	if call.circuit == nil {
+		if former := g.freeForgotten(m.cic, keys); former != nil {
+			s.log.Info("m3ua: IAM for the circuit of a call that the peer has lost", "asp", p.ASP, "cic", m.cic, "call", former.key)
+			s.engine.Hangup(former.owner.(*caller), former.key, core.TemporaryFailure, func(bool) {})
+			call.circuit = g.seize(m.cic, key, keys, call)
+		}
+	}
 	if call.circuit == nil {
 		s.log.Debug("m3ua: IAM for a circuit in use", "asp", p.ASP, "cic", m.cic)
 		return // a REL would be the final answer of the call that already has the circuit
