Fault trials: a connection that a core has forgotten stays open after its crash too

Cause: the reader of a forgotten connection of a core that has ended returned before it kept the socket. The runtime closed it 0.1 s after the controller's close, and that FIN counted as an answer of a live process: the former calls were merged with those of the process that had taken the address.

Change: such sockets are kept in this case too. No check and no bound changed.

--- a/internal/faulttrial/core_connections.go
+++ b/internal/faulttrial/core_connections.go
@@ -244,6 +244,12 @@
 			core.handleRelease(m.ID)
 		}
 	}
+	ignored := conn.forgotten.Load() || conn.corrupted.Load()
+	if ignored { // also by a process that has ended
+		core.mu.Lock()
+		conn.link.ignored = append(conn.link.ignored, conn.Conn)
+		core.mu.Unlock()
+	}
 	if !core.waitResumed() {
 		return
 	}
@@ -255,10 +261,6 @@
 			core.removeCall(call)
 		}
 	}
-	ignored := conn.forgotten.Load() || conn.corrupted.Load()
-	if ignored {
-		conn.link.ignored = append(conn.link.ignored, conn.Conn)
-	}
 	core.mu.Unlock()
 	if !ignored {
 		conn.Close()
--- a/internal/faulttrial/silent_test.go
+++ b/internal/faulttrial/silent_test.go
@@ -29,7 +29,7 @@
 // TestForgottenConnectionIsNotClosed guards against trials in which the end of a connection that a core has forgotten was
 // answered: to the controller that proved that its process was alive, also after it had crashed.
 func TestForgottenConnectionIsNotClosed(t *testing.T) {
-	for _, how := range []string{"forget", "malformed"} {
+	for _, how := range []string{"forget", "malformed", "crash after forget"} {
 		core, err := StartCore("s-1", testhost.Host(), 1, 10, []string{"n0"}, nil, CoreBehaviour{}, 1, NewRecorder())
 		require.NoError(t, err)
 		conn, err := net.Dial("tcp", core.Address("n0"))
@@ -37,8 +37,8 @@
 		reader := bufio.NewReader(conn)
 		_, err = reader.ReadString('\n') // the group's state
 		require.NoError(t, err)
-		if how == "forget" {
-			core.DropIdleConnections(how)
+		if how != "malformed" {
+			core.DropIdleConnections("forget")
 		} else {
 			core.mu.Lock()
 			for c := range core.links["n0"].conns {
@@ -48,6 +48,9 @@
 			_, err = reader.ReadString('\n')
 			require.NoError(t, err)
 		}
+		if how == "crash after forget" {
+			core.Crash()
+		}
 		requireNoAnswer(t, conn)
 		core.Crash()
 		require.NoError(t, conn.Close())
