M3UA: a refused connection ends the calls on a far end without call keys

Cause: calls were cut only after gone_ms without an association. A refused connection, which proves that nothing runs at the address, counted as any failed dial.

Change: it ends the calls at once, unless the far end announced call keys on its last association: that is a controller, which takes its calls up again after a restart.

--- a/internal/m3ua/client.go
+++ b/internal/m3ua/client.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"brookmux"
@@ -25,7 +27,7 @@
 	onReachable func([]brookmux.Switch)
 	links       map[brookmux.SwitchID]*link
 	unclaimed   unclaimedReleases
-	mu          sync.Mutex // guards active, unreachable and cutTimer of the links
+	mu          sync.Mutex // guards active, callKeys, unreachable and cutTimer of the links
 }
 
 // link is the state of one configured exchange: its circuits and the association to it.
@@ -34,6 +36,7 @@
 	client   *Client
 	group    *circuitGroup
 	active   bool        // the association is active
+	callKeys bool        // the far end understood call keys on the last active association
 	cutTimer *time.Timer // runs cutCalls after gone_ms without an active association
 
 	unreachable bool // the far end has reported on the association that the exchange can't be reached
@@ -85,6 +88,9 @@
 			return
 		}
 		l.client.log.Info("m3ua association down", "exchange", l.Number, "error", err)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			l.farEndRefused()
+		}
 		select {
 		case <-time.After(redialInterval):
 		case <-ctx.Done():
@@ -97,14 +103,16 @@
 
 // stateChanged applies a new state of the association. While the association is not active, the exchange is reported as
 // not reachable, so that no new attempt is sent to it. Unanswered set-ups are then lost; standing calls are kept for
-// gone_ms and continue if an association becomes active in that time.
+// gone_ms, see farEndRefused, and continue if an association becomes active in that time.
 func (l *link) stateChanged(a *association, to State) {
 	client := l.client
 	defer client.log.Info("m3ua association", "exchange", l.Number, "state", to.String())
 	client.mu.Lock()
 	wasActive := l.active
 	l.active = to == Active
-	if !l.active {
+	if l.active {
+		l.callKeys = a.sendKeys.Load()
+	} else {
 		l.unreachable = false // valid for one association: the far end reports it again on the next one
 	}
 	if l.active && l.cutTimer != nil {
@@ -135,6 +143,17 @@
 	}
 }
 
+// farEndRefused handles a refused connection: the far end's process has ended. Its calls are over, unless it has call keys:
+// such a far end takes its calls up again after a restart.
+func (l *link) farEndRefused() {
+	l.client.mu.Lock()
+	cut := !l.callKeys && l.cutTimer != nil && l.cutTimer.Stop()
+	l.client.mu.Unlock()
+	if cut {
+		l.cutCalls()
+	}
+}
+
 // cutCalls ends the standing calls of the link and releases all its circuits, unless an association is active again.
 func (l *link) cutCalls() {
 	l.client.mu.Lock()
