A node that drains gets no work under another exchange number at its address

Cause: the guard on changes and the merging of list and configuration compared exchange numbers only. A node is reached by its address.

Change: such a change is refused, and an exchange that was configured there before drains with the node. The address of a node that has gone stays free, as a new core may have it.

It was not played with the whole program.

--- a/cmd/brookmux/operate.go
+++ b/cmd/brookmux/operate.go
@@ -151,19 +151,20 @@
 	nextUpdate     time.Duration
 	pendingEvents  [][][2]string              // to be sent by sendEvents
 	notify         func(string, ...[2]string) // sends an event to the subscribers; nil until openOperator sets it
-	onDraining     func(map[string]string)    // gets the result of draining after each list; called without the lock
+	onDraining     func()                     // called after each list, without the lock
 }
 
 // setListed replaces the membership list.
 func (t *exchangeTable) setListed(l directory.List, kind brookmux.ListKind) {
 	t.mu.Lock()
 	t.listed = l
+	t.exchangeMerger.SetDrainingAddresses(t.drainingAddresses())
 	t.update(kind)
 	onDraining := t.onDraining
 	t.mu.Unlock()
 	t.sendEvents()
 	if onDraining != nil {
-		onDraining(t.draining())
+		onDraining()
 	}
 }
 
@@ -193,6 +194,25 @@
 	return out
 }
 
+// drainingAddresses returns the addresses of the cores that the membership list reports as draining. The lock must be held.
+func (t *exchangeTable) drainingAddresses() map[string]bool {
+	out := map[string]bool{}
+	for _, e := range t.listed.Entries {
+		if e.State == brookmux.Draining {
+			out[e.Addr] = true
+		}
+	}
+	return out
+}
+
+// recordDrains passes the exchanges and the addresses that drain to the guard on configuration changes.
+func (t *exchangeTable) recordDrains(d *datastore.Drains) {
+	d.SetStates(t.draining())
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d.SetAddresses(t.drainingAddresses())
+}
+
 // update merges both sources, records an event for each exchange whose status changed, and passes the cores, the lists
 // and the sizes of the configured circuit groups on. The lock must be held.
 func (t *exchangeTable) update(kind brookmux.ListKind) {
@@ -425,7 +445,7 @@
 	}
 	o := &operator{log: log, model: model, recoveryUsers: c.recoveryUsers}
 	drains := &datastore.Drains{}
-	drains.SetStates(table.draining())
+	table.recordDrains(drains)
 	conf := transact.Config{Store: datastore.Config{Model: model, Keep: c.Keep, MaxSessions: maxSessions,
 		Guards: []datastore.Guard{drains.Guard, rejectStartOnly, nacm.Check},
 		Access: func(who datastore.Session, running, old, next *schema.Node, changes []schema.Change) []schema.Fault {
@@ -457,11 +477,11 @@
 	}
 	o.drainRemoved(table, zones)
 	table.mu.Lock()
-	table.onDraining = func(list map[string]string) {
-		_ = o.owner.Do(func(*datastore.Store) error { drains.SetStates(list); return nil }) // can't fail
+	table.onDraining = func() {
+		_ = o.owner.Do(func(*datastore.Store) error { table.recordDrains(drains); return nil }) // can't fail
 	}
 	table.mu.Unlock()
-	table.onDraining(table.draining()) // lists may have arrived since drains was filled
+	table.onDraining() // lists may have arrived since drains was filled
 	o.gnmi = mgmt.NewTransactional(o.owner, table.addState, func() map[string]string {
 		set, _ := m.store.List("/border-control/controllers/")
 		return set
--- a/internal/datastore/datastore_test.go
+++ b/internal/datastore/datastore_test.go
@@ -336,6 +336,17 @@
 	}
 	d.SetStates(nil)
 	require.NoError(t, b.Validate(Candidate))
+	// The candidate has exchange 2 in service again, at its address: no work may go there under any number.
+	d.SetAddresses(map[string]bool{"10.0.0.2:5060": true})
+	require.Equal(t, schema.ResourceDenied, faultTag(b.Validate(Candidate)))
+	tree, err := b.Get(Running)
+	require.NoError(t, err)
+	require.NoError(t, tree.Put(schema.Item{Path: "/exchanges/exchange[number='2']/address", Value: "10.0.0.9:5060"}))
+	require.NoError(t, tree.Put(schema.Item{Path: "/exchanges/exchange[number='4']/zone", Value: "east"}))
+	require.NoError(t, tree.Put(schema.Item{Path: "/exchanges/exchange[number='4']/address", Value: "10.0.0.2:5060"}))
+	require.ErrorContains(t, b.Check(tree), "the node at 10.0.0.2:5060 has been told draining: exchange 4 would send calls there: it would be new")
+	d.SetAddresses(nil)
+	require.NoError(t, b.Check(tree))
 	txn, err := b.Commit(id, Commit{}, b.now)
 	require.NoError(t, err)
 	d.SetStates(map[string]string{"2": "draining"})
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -178,8 +178,13 @@
 	configured map[int]Exchange
 	cores      []placedCore
 	listed     map[int]bool // by exchange number: true if listed now, false if listed earlier
+	draining   map[string]bool
 }
 
+// SetDrainingAddresses replaces the addresses of the listed cores that drain. A core that operators have configured at one
+// of them, under another number, drains too.
+func (m *Merger) SetDrainingAddresses(list map[string]bool) { m.draining = list }
+
 // SetConfigured replaces the configured exchanges. At the start of the program their cores count as started long ago;
 // later, a new core counts as started now, as it is not known to be warm. Cores no longer configured drain.
 func (m *Merger) SetConfigured(now time.Duration, list []Exchange, atStart bool) {
@@ -284,6 +289,9 @@
 		} else if next == 0 || k.drainUntil < next {
 			next = k.drainUntil
 		}
+		if m.draining[k.Address] {
+			c.State = brookmux.Draining
+		}
 		unlisted = append(unlisted, c)
 	}
 	for _, c := range unlisted {
--- a/internal/intent/intent_test.go
+++ b/internal/intent/intent_test.go
@@ -81,6 +81,20 @@
 	require.Equal(t, ExchangeOrigin{Learned, "ready"}, origins[2])
 }
 
+// TestDrainingAddress guards against new calls to a node that drains: operators had configured another exchange at its
+// address.
+func TestDrainingAddress(t *testing.T) {
+	p := &Merger{}
+	p.SetConfigured(time.Hour, []Exchange{{8, "b:2", 0, brookmux.Ready, 0}, {9, "b:3", 0, brookmux.Ready, 0}}, true)
+	p.SetDrainingAddresses(map[string]bool{"b:2": true})
+	_, cores, _, _ := p.Merge(time.Hour, []brookmux.Switch{{ID: 2, Number: 2, State: brookmux.Draining}})
+	require.Len(t, cores, 2)
+	require.Equal(t, []brookmux.SwitchState{brookmux.Draining, brookmux.Ready}, []brookmux.SwitchState{cores[0].State, cores[1].State})
+	p.SetDrainingAddresses(nil)
+	_, cores, _, _ = p.Merge(time.Hour, nil)
+	require.Equal(t, brookmux.Ready, cores[0].State)
+}
+
 // TestRemovedBeforeStart checks that an exchange that was removed before the start drains until its time is over, gets no
 // new calls, and is not added if its address is configured.
 func TestRemovedBeforeStart(t *testing.T) {
