Operators' admin-state applies to exchanges over M3UA

Cause: the exchanges of active associations were passed to the decision module as ready, past the merging with the configuration.

Change: the table of exchanges passes them on with the operators' state, at each change of either.

Evidence: TestLinkedExchangeDrains failed 1 of 1 without the state being applied.

Measured: it passes, and TestExchanges, with the race detector. It was not played with the whole program.

--- a/cmd/brookmux/main.go
+++ b/cmd/brookmux/main.go
@@ -68,7 +68,8 @@
 	merge := &directory.Merger{}
 	links := &trunks{Pool: corelink.New(ctx, corelink.Config{ConnectTimeout: conf.settings.ConnectTimeout, IdleTimeout: conf.settings.Keepalive, Log: log,
 		Connections: connectionsPerCore(conf.sockets), Origin: reader.Origin})}
-	links.m3ua = m3ua.NewClient(conf.m3ua, log, func(list []brookmux.Switch) { merge.Set("m3ua", brookmux.Full, list) })
+	var table *exchangeTable
+	links.m3ua = m3ua.NewClient(conf.m3ua, log, func(list []brookmux.Switch) { table.setLinked(list) })
 	var front *sipfront.Front
 	reports := make(chan core.Counts, 1)
 	stormControl, err := newStorm(conf)
@@ -107,7 +108,7 @@
 
 	failed := make(chan error, 6)
 	go func() { failed <- engine.Run(ctx) }()
-	table := &exchangeTable{links: links, listMerger: merge, here: conf.settings.Module.Here, engine: engine,
+	table = &exchangeTable{links: links, listMerger: merge, here: conf.settings.Module.Here, engine: engine,
 		now: func() time.Duration { return time.Since(reader.Origin) }}
 	table.setListed(cachedList, brookmux.Cached)
 	nameService, err := directory.NewService(reader, conf.nameserver, cachedList.Serial, log,
--- a/cmd/brookmux/operate.go
+++ b/cmd/brookmux/operate.go
@@ -145,6 +145,7 @@
 	mu             sync.Mutex
 	exchangeMerger intent.Merger
 	listed         directory.List
+	linked         []brookmux.Switch // exchanges whose M3UA association is active
 	groups         []intent.Group
 	hasConfigured  bool // cores that only operators have configured were passed on
 	statuses       map[int]intent.ExchangeOrigin
@@ -168,6 +169,19 @@
 	}
 }
 
+// setLinked replaces the exchanges that are reached over M3UA.
+func (t *exchangeTable) setLinked(list []brookmux.Switch) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.linked = list
+	t.updateLinked()
+}
+
+// updateLinked passes the exchanges that are reached over M3UA on, with the states in force. The lock must be held.
+func (t *exchangeTable) updateLinked() {
+	t.listMerger.Set("m3ua", brookmux.Full, t.exchangeMerger.WithAdminState(t.linked))
+}
+
 // sendEvents sends the pending exchange-state-change events. The lock must not be held.
 func (t *exchangeTable) sendEvents() {
 	t.mu.Lock()
@@ -261,6 +275,9 @@
 	t.exchangeMerger.SetConfigured(t.now(), list, start)
 	t.groups = groups
 	t.update(brookmux.Full)
+	if len(t.linked) > 0 {
+		t.updateLinked()
+	}
 }
 
 // addRemoved adds exchanges that operators removed before the program started.
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -212,6 +212,18 @@
 	}
 }
 
+// WithAdminState returns a copy of ready exchanges, in which those that operators have configured as draining or out of
+// service drain.
+func (m *Merger) WithAdminState(list []brookmux.Switch) []brookmux.Switch {
+	out := slices.Clone(list)
+	for i := range out {
+		if x, ok := m.configured[out[i].Number]; ok && x.State == brookmux.Draining {
+			out[i].State = brookmux.Draining
+		}
+	}
+	return out
+}
+
 // RemovedExchange is an exchange that was configured and no longer is.
 type RemovedExchange struct {
 	Exchange
