A drain keeps connections open on which set-ups go on

Cause: a connection without standing calls was ended after 0.1 s without a message. A caller with a set-up every 0.2 s has such gaps, and reads the end late, behind releases; what it sends over 50 ms after it is lost.

Change: a connection on which set-ups came in the drain stays until there was none for a second, or until shortly before the kill.

TestDrain and TestExchanges pass with the race detector.

--- a/internal/sipfront/closing.go
+++ b/internal/sipfront/closing.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"brookmux/internal/lifecycle"
 	"brookmux/internal/stream"
 )
 
@@ -112,12 +113,15 @@
 	time.AfterFunc(c.closeWait, c.Close)
 }
 
-// expectsTraffic reports whether a message was received within drainIdleTime, or the acknowledgement of a release may
-// still arrive. The front's lock must be held.
+// expectsTraffic reports whether a message was received within drainIdleTime or a set-up of a caller that goes on in the drain
+// within drainSetUpTime, or the acknowledgement of a release may still arrive. The front's lock must be held.
 func (c *conn) expectsTraffic(now time.Time) bool {
 	if now.UnixNano()-c.lastReceived.Load() < int64(drainIdleTime) {
 		return true
 	}
+	if c.setUpMayFollow(now) {
+		return true
+	}
 	if !c.front.callersAcknowledge.Load() {
 		return false
 	}
@@ -131,6 +135,15 @@
 	return false
 }
 
+// setUpMayFollow reports whether the caller has sent set-ups in the drain and the last one so recently that another one may
+// follow. Its caller may read the end of the connection late, behind releases, and a set-up that it sends before that gets
+// no answer. The front's lock must be held.
+func (c *conn) setUpMayFollow(now time.Time) bool {
+	drainStart := time.Now().Add(-c.front.phase.Since(lifecycle.Draining))
+	lastSetUp := time.Unix(0, c.lastSetUp.Load())
+	return lastSetUp.After(drainStart) && now.Sub(lastSetUp) < c.front.limitWait(lastSetUp, drainSetUpTime)
+}
+
 // connectionEnded reports whether an error of reading means that the connection can't be used any more, because the
 // caller or the writer has ended it.
 func connectionEnded(err error) bool {
--- a/internal/sipfront/conn.go
+++ b/internal/sipfront/conn.go
@@ -39,6 +39,7 @@
 	group        string // caller group: the peer's IP address
 	createdAt    time.Time
 	lastReceived atomic.Int64 // Unix nanoseconds, of the last message
+	lastSetUp    atomic.Int64 // Unix nanoseconds, of the last set-up
 	faults       atomic.Int32 // faulty messages since a set-up last succeeded
 	received     atomic.Bool  // a complete message has been received
 	usedForCalls atomic.Bool  // has received more than OPTIONS: a caller that only tests may never read releases
@@ -165,6 +166,7 @@
 	case m.callID() == "" || m.header.Get("Cseq") == "":
 		c.replyFault(m, 400, "Call-ID or CSeq is missing")
 	case m.method == "INVITE":
+		c.lastSetUp.Store(c.lastReceived.Load())
 		return c.handleInvite(m)
 	case m.method == "ACK":
 	case m.method == "CANCEL":
--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -28,6 +28,7 @@
 	maxReleaseSends = 5                      // per release, the first included
 	minDrainTime    = 800 * time.Millisecond // after SIGTERM, all connections stay open at least this long,
 	drainIdleTime   = 100 * time.Millisecond // and then until they have received nothing for this long
+	drainSetUpTime  = time.Second            // or, if set-ups go on in the drain, no set-up for this long
 
 	drainAckWait     = 500 * time.Millisecond // a draining connection waits this long for an acknowledgement
 	closeTimeout     = time.Second            // and, half-closed, this long for the caller to close it
