Repeat a release after 0.5 s, so that one after a lease's end comes within 8 s

Cause: the lease leaves 0.6 s of the 8 s, and repeating took 0.6 s and up to two checks, 50 ms each.

Change: releases are repeated after 0.5 s: 7.4 s, two checks and this are 8 s.

TestRepeatedReleaseInTime failed 1 of 1 with 0.6 s (8.1 s).

Measured: internal/sipfront passes 2 of 2 with the race detector, TestExchanges 1 of 1.

--- a/internal/sipfront/front.go
+++ b/internal/sipfront/front.go
@@ -24,7 +24,7 @@
 	acceptRetryDelay  = 20 * time.Millisecond
 
 	watchInterval   = 50 * time.Millisecond
-	repeatAfter     = 600 * time.Millisecond // unacknowledged releases are then sent on another connection
+	repeatAfter     = 500 * time.Millisecond // unacknowledged releases are then sent on another connection; after a lease, within 8 s
 	maxReleaseSends = 5                      // per release, the first included
 	minDrainTime    = 800 * time.Millisecond // after SIGTERM, all connections stay open at least this long,
 	drainIdleTime   = 100 * time.Millisecond // and then until they have received nothing for this long
--- a/internal/sipfront/release_test.go
+++ b/internal/sipfront/release_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"brookmux/internal/lifecycle"
+	"brookmux/internal/liveness"
 )
 
 const ackRequest = "ACK sip:ping@net SIP/2.0\r\nCall-ID: %016x\r\nCSeq: 1 ACK\r\nContent-Length: 0\r\n\r\n"
@@ -117,3 +118,13 @@
 		require.Empty(t, f.callConns)
 	})
 }
+
+// TestRepeatedReleaseInTime guards against a release later than 8 s after the end of a call: its lease had expired, and the first
+// release was written to a connection that had been cut without a sign.
+func TestRepeatedReleaseInTime(t *testing.T) {
+	const (
+		releaseLimit = 8 * time.Second       // protocol page, "The rules on sockets"
+		leaseTick    = 50 * time.Millisecond // between two checks of the leases
+	)
+	require.LessOrEqual(t, liveness.LeaseDuration+leaseTick+repeatAfter+watchInterval, releaseLimit)
+}
