TestOtherHistory waits until the index counts as applied

Cause, in the test: Raft counts an entry as applied after it has passed it to the state machine, so a value can be read before. The index was 0 then.

Change: the test waits until all entries count as applied. What it checks is the same.

--- a/internal/store/recovery_test.go
+++ b/internal/store/recovery_test.go
@@ -125,6 +125,11 @@
 	c.set(leader, "/x", "1")
 	c.waitValue(follower, "/x", "1")
 	s := c.stores[follower]
+	caughtUp := func() bool {
+		last := s.raft.Load().LastIndex()
+		return last > 0 && s.raft.Load().AppliedIndex() == last
+	}
+	require.Eventually(t, caughtUp, testTimeout, time.Millisecond) // a value can be read before its index counts as applied
 	applied := s.raft.Load().AppliedIndex()
 	entry := func(index, term uint64) *raft.AppendEntriesRequest {
 		return &raft.AppendEntriesRequest{Entries: []*raft.Log{{Index: index, Term: term}}}
