TestOpenSetUpsAreAnswered waits for the writer before it counts answers

Cause, in the test: the refusal is queued, and the connection's writer passes it on. The test counted the answers without waiting for it.

Change: synctest.Wait before the count. No time passes in it, so the answer is due at the same instant as before.

--- a/internal/sipfront/open_setups_test.go
+++ b/internal/sipfront/open_setups_test.go
@@ -138,6 +138,7 @@
 			require.NotContains(t, e.lost, e.offered[0].Key, test.name)
 			time.Sleep(400 * time.Millisecond)
 			e.offered[0].Caller.Refuse(e.offered[0].Key, core.Verdict{})
+			synctest.Wait() // for the writer and the caller's reader; no time passes
 			require.Equal(t, 1, p.count("503"), test.name)
 			fmt.Fprintf(p, requestFormat, "REFER", 8)
 			time.Sleep(2 * time.Second)
